--- a/src/main/java/lemonyoke/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -1,8 +1,8 @@
-package lemonyoke;
+package maplespread.decision;
 
-import static lemonyoke.Numbers.clamp;
-import static lemonyoke.Numbers.draw;
-import static lemonyoke.Numbers.fade;
+import static maplespread.decision.Numbers.clamp;
+import static maplespread.decision.Numbers.draw;
+import static maplespread.decision.Numbers.fade;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import lemonyoke.Dispatch.*;
+import maplespread.decision.Dispatch.*;
 
 /**
  * All decisions of a node; its interface (settings, events, actions) is in Dispatch.java. The design is rule
--- a/src/main/java/lemonyoke/Numbers.java
+++ b/src/main/java/maplespread/decision/Numbers.java
@@ -1,4 +1,4 @@
-package lemonyoke;
+package maplespread.decision;
 
 import java.util.SplittableRandom;
 
--- a/src/main/java/lemonyoke/PeerWords.java
+++ b/src/main/java/maplespread/decision/PeerWords.java
@@ -1,4 +1,4 @@
-package lemonyoke;
+package maplespread.decision;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
--- a/src/main/java/lemonyoke/WireAdapter.java
+++ b/src/main/java/maplespread/drill/WireAdapter.java
@@ -1,4 +1,4 @@
-package lemonyoke;
+package maplespread.drill;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -13,14 +13,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import maplespread.decision.Dispatch;
+import maplespread.decision.Logic;
 
 /**
  * Translates the simulator's wire to {@link Dispatch} and back: one {@link Logic} per node. It decides
  * nothing.
  */
-final class WireAdapter {
+public final class WireAdapter {
     /** A line that cannot be read. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         Malformed(String message) {
             super(message);
         }
@@ -42,13 +44,13 @@
         String[] reportFields = {};
     }
 
-    WireAdapter(InputStream in, PrintStream out) {
+    public WireAdapter(InputStream in, PrintStream out) {
         var decoder = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT);
         this.in = new BufferedReader(new InputStreamReader(in, decoder), 1 << 16);
         this.out = out;
     }
 
-    void run() throws IOException {
+    public void run() throws IOException {
         try {
             while (next()) {
                 if (!name().equals("mark")) {
--- a/src/test/java/lemonyoke/Host.java
+++ b/src/test/java/maplespread/decision/Host.java
@@ -1,4 +1,4 @@
-package lemonyoke;
+package maplespread.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import lemonyoke.Dispatch.*;
+import maplespread.decision.Dispatch.*;
 
 /** A host for tests: records the node's actions and asserts the four rules on each. It models no servers. */
 final class Host implements Actions {
--- a/src/test/java/lemonyoke/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -1,10 +1,10 @@
-package lemonyoke;
+package maplespread.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.List;
 import java.util.Random;
-import lemonyoke.Dispatch.*;
+import maplespread.decision.Dispatch.*;
 import org.junit.jupiter.api.Test;
 
 class LogicTest {
--- a/src/test/java/lemonyoke/WireTest.java
+++ b/src/test/java/maplespread/drill/WireTest.java
@@ -1,4 +1,4 @@
-package lemonyoke;
+package maplespread.drill;
 
 import static org.junit.jupiter.api.Assertions.*;
 
