--- a/src/main/java/maplespread/Main.java
+++ b/src/main/java/maplespread/Main.java
@@ -3,18 +3,53 @@
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import maplespread.config.ConfigError;
+import maplespread.config.ConfigReader;
 import maplespread.drill.WireAdapter;
+import org.tinylog.Logger;
 
-/** The command line: {@code drill} speaks the simulator's wire on standard input and output. */
+/**
+ * The command line: {@code serve} is one real dispatcher, {@code drill} speaks the simulator's wire on
+ * standard input and output.
+ */
 public final class Main {
     private Main() { }
 
-    /** Runs the command; exits 2 on a wrong call, 1 on malformed input. */
+    /** Exits 2 on a wrong call or configuration, 1 on malformed input or a taken address. */
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar maplespread.jar drill");
-            System.exit(2);
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "drill" -> drill();
+            case "serve" -> serve();
+            default -> {
+                System.err.println("usage: java -jar maplespread.jar serve | drill");
+                System.exit(2);
+            }
         }
+    }
+
+    private static void serve() {
+        try {
+            Server server = new Server(ConfigReader.fromEnvironment(System.getenv()));
+            // The JVM ends when its hooks have: this one waits for the taken work, and makes the status 0.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                server.stop();
+                Runtime.getRuntime().halt(0);
+            }, "shutdown"));
+            server.start();
+            server.lifecycle().await(Lifecycle.Phase.STOPPED);
+        } catch (ConfigError e) {
+            System.err.println("configuration: " + e.getMessage());
+            Runtime.getRuntime().halt(2);
+        } catch (IOException e) {
+            Logger.error("cannot listen: {}", e.getMessage());
+            Runtime.getRuntime().halt(1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void drill() throws IOException {
         try (PrintStream out = new PrintStream(new BufferedOutputStream(System.out, 1 << 16), false,
             "UTF-8")) {
             new WireAdapter(System.in, out).run();
--- /dev/null
+++ b/src/main/java/maplespread/Server.java
@@ -0,0 +1,136 @@
+package maplespread;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import maplespread.caller.Listener;
+import maplespread.caller.Service;
+import maplespread.config.Config;
+import maplespread.facade.Chore;
+import maplespread.facade.Dispatcher;
+import maplespread.routes.RouteSet;
+import maplespread.worker.Branches;
+import maplespread.worker.Links;
+import maplespread.worker.Prober;
+import org.tinylog.Logger;
+
+/** One running dispatcher: puts the parts together and takes them through the phases. */
+public final class Server {
+    private static final long STACK = 144 * 1024;                // times the counts in Config.Sizes
+    private static final int BACKLOG = 511;
+    private static final int SPARE_LEGS = 16;
+    private static final long SWEEP_MS = 1000;
+    private static final long END_MS = 400;                      // beyond the longest deadline
+
+    private final Config config;
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Dispatcher dispatcher;
+    private final Links links;
+    private final Branches branches;
+    private final Prober prober;
+    private final RouteSet routeSet;
+    private final ExecutorService probes = threads("probe", 32);
+    private ServerSocket socket;
+    private Listener listener;
+    private long sweptAt = System.nanoTime();
+
+    public Server(Config config) {
+        this.config = config;
+        dispatcher = new Dispatcher(config.settings(), config.seed());
+        links = new Links(config);
+        branches = new Branches(links, dispatcher);
+        prober = new Prober(config, links, dispatcher);
+        routeSet = new RouteSet(config, dispatcher);
+    }
+
+    /** Opens the listener and serves from the list last known; returns at once. */
+    public void start() throws IOException {
+        dispatcher.report(config.known());
+        socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        InetSocketAddress at = config.listen();
+        socket.bind(at, BACKLOG);
+        Service service = new Service(config, dispatcher, branches,
+            threads("transaction", config.sizes().transactions() + 8), lifecycle::serving);
+        listener = new Listener(socket, service, threads("leg", config.sizes().legs() + 8),
+            threads("spare", SPARE_LEGS));
+        thread("ticker", this::tick).start();
+        thread("routes", routeSet).start();
+        lifecycle.enter(Lifecycle.Phase.SERVING);
+        thread("listener", listener).start();
+        Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
+    }
+
+    public Lifecycle lifecycle() {
+        return lifecycle;
+    }
+
+    /** The port that is listened on. */
+    public int port() {
+        return socket.getLocalPort();
+    }
+
+    /**
+     * Ends in order: accepts a while longer, since clients are sent here until the front has noticed, then
+     * finishes all that was taken. Returns once that is done or the longest deadline has passed.
+     */
+    public void stop() {
+        if (!lifecycle.enter(Lifecycle.Phase.DRAINING)) {
+            return;
+        }
+        try {
+            long end = System.nanoTime() + (config.times().longestMs() + END_MS) * 1_000_000;
+            Thread.sleep(config.times().acceptMs());
+            listener.close();
+            lifecycle.enter(Lifecycle.Phase.FINISHING);
+            while ((listener.endIdle() > 0 || !listener.closed()) && System.nanoTime() < end) {
+                Thread.sleep(10);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        lifecycle.enter(Lifecycle.Phase.STOPPED);
+    }
+
+    private void tick() {
+        while (true) {
+            try {
+                for (Chore chore : dispatcher.tick(SWEEP_MS)) {
+                    if (chore instanceof Chore.Probe probe) {
+                        probes.execute(() -> prober.probe(probe));
+                    } else if (chore instanceof Chore.Cancel cancel) {
+                        branches.cancel(cancel.branch());
+                    } else {
+                        routeSet.watch();
+                    }
+                }
+                if (System.nanoTime() - sweptAt > SWEEP_MS * 1_000_000) {
+                    sweptAt = System.nanoTime();
+                    links.sweep(new HashSet<>(dispatcher.addresses()));
+                }
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {                       // the timers must go on
+                Logger.error(e, "a chore failed");
+            }
+        }
+    }
+
+    private static Thread thread(String name, Runnable work) {
+        Thread t = new Thread(null, work, name, STACK);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private static ExecutorService threads(String name, int most) {
+        AtomicInteger count = new AtomicInteger();
+        return new ThreadPoolExecutor(0, most, 10, TimeUnit.SECONDS, new SynchronousQueue<>(),
+            work -> thread(name + '-' + count.incrementAndGet(), work));
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -0,0 +1,85 @@
+package maplespread.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpWriter;
+
+/** The one final answer to a request: whoever comes first writes it, and nobody after that. */
+final class Answer {
+    private final HttpConnection connection;
+    private final boolean close;
+    private boolean given;
+
+    /** {@code close}: the connection ends with this answer. */
+    Answer(HttpConnection connection, boolean close) {
+        this.connection = connection;
+        this.close = close;
+    }
+
+    void served(byte[] result) {
+        give(HttpWriter.response(200), result);
+    }
+
+    /** A refusal: it is harmless to try again, after the pause. */
+    void busy(double pauseMs) {
+        HttpWriter head = HttpWriter.response(503);
+        if (pauseMs > 0) {
+            head.field("Retry-After", String.format(Locale.ROOT, "%.3f", pauseMs / 1000));
+        }
+        give(head, text("busy"));
+    }
+
+    void failed(int status, String why) {
+        HttpWriter head = HttpWriter.response(status);
+        if (status == 405) {
+            head.field("Allow", why.contains("POST") ? "POST" : "GET");
+        }
+        give(head, text(why));
+    }
+
+    void plain(int status, String why) {
+        give(HttpWriter.response(status), text(why));
+    }
+
+    /** Ends the matter without an answer: the client has left. */
+    synchronized void drop() {
+        given = true;
+        notifyAll();
+    }
+
+    synchronized boolean given() {
+        return given;
+    }
+
+    boolean closes() {
+        return close;
+    }
+
+    synchronized void awaitGiven() throws InterruptedException {
+        while (!given) {
+            wait();
+        }
+    }
+
+    private synchronized void give(HttpWriter head, byte[] body) {
+        if (given) {
+            return;
+        }
+        given = true;
+        try {
+            connection.send((close ? head.field("Connection", "close") : head).body(body));
+            if (close) {
+                connection.endSending();
+            }
+        } catch (IOException e) {
+            connection.close();                                  // the client has gone
+        }
+        notifyAll();
+    }
+
+    private static byte[] text(String why) {
+        return (why + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -0,0 +1,123 @@
+package maplespread.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import maplespread.config.Config;
+import maplespread.facade.Transaction;
+import maplespread.http.HttpError;
+import maplespread.http.HttpHead;
+import maplespread.worker.Message;
+
+/** Checks a client's job and reads what decisions need of it. Nothing that fails here reaches a worker. */
+final class JobRequest {
+    private static final long LONGEST_MS = 3_600_000;
+    /** For the answer's way to the client, so that one at the deadline still arrives in time. */
+    private static final long WAY_BACK_US = 5_000;
+    private static final Set<String> OWN_FIELDS = Set.of("host", "connection", "keep-alive", "te", "trailer",
+        "upgrade", "expect", "transfer-encoding", "content-length", "proxy-connection", "proxy-authorization",
+        "x-txn", "x-remaining-ms");
+
+    final Message message;
+    final Transaction transaction;
+
+    /** {@code lastByteUs}: when the request's last byte had come, on the dispatcher's clock. */
+    JobRequest(Config config, HttpHead head, byte[] body, long lastByteUs) throws HttpError {
+        int cls = config.names().classes().indexOf(firstPart(head.target()));
+        if (cls < 0) {
+            throw new HttpError(404, "no such path");
+        }
+        if (!head.method().equals("POST")) {
+            throw new HttpError(405, "jobs come by POST");
+        }
+        String lane = need(head, "X-Lane");
+        if (config.names().classes().indexOf(lane) < 0) {
+            throw new HttpError(404, "no such class");
+        }
+        if (config.names().classes().indexOf(lane) != cls) {
+            throw new HttpError(400, "X-Lane and path differ");
+        }
+        String id = need(head, "X-Txn");
+        if (!id.matches("[!-~]{1,128}")) {
+            throw new HttpError(400, "malformed X-Txn");
+        }
+        int tenant = 0;
+        if (!config.names().tenants().isEmpty()) {
+            tenant = config.names().tenants().indexOf(need(head, "X-Org"));
+            if (tenant < 0) {
+                throw new HttpError(400, "unknown X-Org");
+            }
+        }
+        String remaining = need(head, "X-Remaining-Ms");
+        if (!remaining.matches("[0-9]{1,7}") || Long.parseLong(remaining) > LONGEST_MS
+            || Long.parseLong(remaining) == 0) {
+            throw new HttpError(400, "X-Remaining-Ms out of range");
+        }
+        double waitMs = Math.min(Long.parseLong(remaining),
+            config.settings().classes().get(cls).deadlineMs());
+        double workMs = figure(one(head, "X-Estimate"), "X-Estimate", Double.NaN) / 1000;
+        double slots = 1;
+        double memory = 0;
+        String labels = one(head, "X-Labels");
+        for (String label : labels == null ? new String[0] : labels.split(",")) {
+            int eq = label.indexOf('=');
+            if (eq < 1) {
+                throw new HttpError(400, "malformed X-Labels");
+            }
+            double v = figure(label.substring(eq + 1), "X-Labels", 0);
+            switch (label.substring(0, eq).strip().toLowerCase(Locale.ROOT)) {
+                case "slots", "coresneeded", "x1" -> slots = v;
+                case "memory", "ramunits", "x2" -> memory = v;
+                default -> { }                                   // keys may be added
+            }
+        }
+        message = new Message(head.method(), head.target(), id, passedOn(head), body);
+        transaction = new Transaction(cls, tenant, lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US,
+            workMs, slots, memory);
+    }
+
+    private static List<String[]> passedOn(HttpHead head) {
+        List<String[]> fields = new ArrayList<>();
+        for (String[] f : head.fields()) {
+            String name = f[0].toLowerCase(Locale.ROOT);
+            if (!OWN_FIELDS.contains(name) && !head.lists("Connection", name)) {
+                fields.add(f);
+            }
+        }
+        return fields;
+    }
+
+    private static String firstPart(String target) {
+        int end = 1;
+        while (end < target.length() && "/?".indexOf(target.charAt(end)) < 0) {
+            end++;
+        }
+        return target.startsWith("/") ? target.substring(1, end) : "";
+    }
+
+    private static String one(HttpHead head, String name) throws HttpError {
+        if (head.count(name) > 1) {
+            throw new HttpError(400, name + " stands twice");
+        }
+        return head.get(name);
+    }
+
+    private static String need(HttpHead head, String name) throws HttpError {
+        String value = one(head, name);
+        if (value == null || value.isEmpty()) {
+            throw new HttpError(400, name + " is missing");
+        }
+        return value;
+    }
+
+    private static double figure(String text, String name, double otherwise) throws HttpError {
+        if (text == null) {
+            return otherwise;
+        }
+        if (!text.strip().matches("[0-9]{1,12}(\\.[0-9]{1,9})?")) {
+            throw new HttpError(400, name + " out of range");
+        }
+        return Double.parseDouble(text.strip());
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/config/Config.java
@@ -0,0 +1,24 @@
+package maplespread.config;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import maplespread.decision.Dispatch;
+import maplespread.facade.RouteNews;
+
+/** All that a dispatcher is told, read and checked by {@link ConfigReader}. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+                     Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
+    /** What the sockets call classes, tenants, zones and machine kinds, in the settings' order. */
+    public record Names(List<String> classes, List<String> tenants, List<String> zones,
+                        List<String> kinds) { }
+
+    /**
+     * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code
+     * idleLinks}: pooled worker connections.
+     */
+    public record Sizes(int transactions, int legs, int idleLinks) { }
+
+    /** Time limits in milliseconds that are not the module's. */
+    public record Times(long dialMs, long probeMs, long linkIdleMs, long legIdleMs, long legReadMs,
+                        long watchSilenceMs, long longestMs, long acceptMs) { }
+}
--- /dev/null
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -0,0 +1,285 @@
+package maplespread.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import maplespread.decision.Dispatch;
+import maplespread.facade.RouteNews;
+import maplespread.routes.RouteReader;
+
+/** The one place where the configuration is read, checked and given defaults. */
+public final class ConfigReader {
+    private static final Set<String> EFFECTS = Set.of("read_like", "idempotency_key", "non_idempotent");
+    private static final List<String> ABOVE_ZERO = List.of("aimMs", "deadlineMs");
+    private static final int DESCRIPTORS_KEPT = 96;              // the JVM's files, discovery, probes
+
+    private final Map<String, String> flat = new HashMap<>();    // the settings by path
+
+    private ConfigReader() { }
+
+    /** From the environment: BALANCER_CONFIG names the file, the other variables win over it. */
+    public static Config fromEnvironment(Map<String, String> env) throws ConfigError {
+        String file = env.get("BALANCER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigError("BALANCER_CONFIG", "names no file");
+        }
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new ConfigError("BALANCER_CONFIG", "cannot read " + file + ": " + e.getMessage());
+        }
+        return read(text, env);
+    }
+
+    /** From the text of the file and the variables that win over it. */
+    public static Config read(String text, Map<String, String> env) throws ConfigError {
+        JsonObject root;
+        try {
+            root = JsonParser.parseString(text).getAsJsonObject();
+        } catch (JsonParseException | IllegalStateException e) {
+            throw new ConfigError("BALANCER_CONFIG", "not a JSON object");
+        }
+        return new ConfigReader().read(root, env);
+    }
+
+    private Config read(JsonObject root, Map<String, String> env) throws ConfigError {
+        JsonObject set = object(root, "settings");
+        flatten("", set);
+        check(set);
+        Config.Names names = new Config.Names(named(set, "classes"), named(set, "customers"),
+            strings(set, "areas"), strings(set, "models"));
+        Dispatch.Settings settings = settings();
+        JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
+        int sockets = (int) number(limits, "limits.", "sockets", 1024);
+        number(limits, "limits.", "memory_mb", 192);
+        if (sockets < DESCRIPTORS_KEPT + 64) {
+            throw new ConfigError("limits.sockets", "at least " + (DESCRIPTORS_KEPT + 64) + " are needed");
+        }
+        return new Config(string(root, env, "name", "BALANCER_NAME"),
+            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"),
+            address(string(root, env, "discovery", "BALANCER_DISCOVERY"), "discovery"),
+            seed(root), settings, names, sizes(sockets - DESCRIPTORS_KEPT), times(settings),
+            known(root, names));
+    }
+
+    /** The memory's share is set by the start command: the counts here are what its stacks were sized for. */
+    private static Config.Sizes sizes(int descriptors) {
+        int transactions = Math.min(192, descriptors * 2 / 8);
+        return new Config.Sizes(transactions, Math.min(288, descriptors * 3 / 8),
+            Math.min(128, descriptors / 8));
+    }
+
+    private static Config.Times times(Dispatch.Settings set) {
+        double longest = set.classes().stream().mapToDouble(Dispatch.ClassSpec::deadlineMs).max().orElse(0);
+        double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
+        return new Config.Times(Math.max(1, Math.round(set.permissions().dialTimeoutMs())), 1000, (long) idle,
+            60_000, 10_000, 5_000, (long) Math.max(3000, longest), 500);
+    }
+
+    // ------------------------------------------------------------ settings
+
+    private void flatten(String path, JsonElement e) {
+        if (e.isJsonObject()) {
+            for (var member : e.getAsJsonObject().entrySet()) {
+                flatten(path.isEmpty() ? member.getKey() : path + '.' + member.getKey(), member.getValue());
+            }
+        } else if (e.isJsonArray()) {
+            JsonArray all = e.getAsJsonArray();
+            List<String> plain = new ArrayList<>();
+            boolean objects = false;
+            for (int i = 0; i < all.size(); i++) {
+                objects |= all.get(i).isJsonObject();
+                if (all.get(i).isJsonPrimitive()) {
+                    plain.add(all.get(i).getAsString());
+                } else {
+                    flatten(path + '.' + i, all.get(i));
+                }
+            }
+            flat.put(objects ? path + ".count" : path, objects ? "" + all.size() : String.join(",", plain));
+        } else if (e.isJsonPrimitive()) {
+            flat.put(path, e.getAsString());
+        }
+    }
+
+    /** What the module's own checks would reject, or pass over in silence, named by its key here. */
+    private void check(JsonObject set) throws ConfigError {
+        int classes = array(set, "classes").size();
+        if (classes == 0) {
+            throw new ConfigError("settings.classes", "at least one class is needed");
+        }
+        for (int i = 0; i < classes; i++) {
+            String at = "classes." + i + ".";
+            for (String key : ABOVE_ZERO) {
+                within(at + key, Math.nextUp(0.0), 1e9, Double.NaN);
+            }
+            within(at + "worth", 0, 1e12, 1);
+            within(at + "lateShare", 0, 1, 0);
+            within(at + "aimStretch", 0, 1e6, 0);
+            within(at + "repeatWindowMs", 0, 1e12, 0);
+            String effect = flat.get(at + "effect");
+            if (effect == null || !EFFECTS.contains(effect)) {
+                throw new ConfigError("settings." + at + "effect", "must be one of " + sorted(EFFECTS));
+            }
+        }
+        int tenants = set.has("customers") ? array(set, "customers").size() : 0;
+        for (int i = 0; i < tenants; i++) {
+            within("customers." + i + ".allowancePerS", 0, 1e12, 0);
+        }
+        within("balancers", 1, 1e6, 1);
+        within("zone", -1, 1e6, 0);
+        within("permissions.tryLimit", 1, 1e6, 1);
+        within("permissions.dialTimeoutMs", 0, 1e6, 250);
+        within("permissions.maxRetryAfterMs", 0, 1e9, 0);
+        within("permissions.connIdleMs", 0, 1e9, 0);
+        within("rules.drainGraceMs", 0, 1e9, 0);
+        within("rules.askWithinMs", 1, 1e9, 10_000);
+        within("rules.answerSlackMs", 0, 1e9, 0);
+        within("rules.coldFrom", Math.nextUp(0.0), 1, 0.1);
+        within("rules.warmWithinMs", 0, 1e9, 30_000);
+        within("rules.fallMultiple", Math.nextUp(0.0), 1e9, 1);
+        within("rules.fallMs", Math.nextUp(0.0), 1e9, 1000);
+        within("domain.progressMs", 0, 1e9, 0);
+        within("tickMs", 0, 1e6, 1);
+        within("overShareWorth", 0, 1e9, 1);
+        within("penalties.crossZone", 0, 1e9, 0);
+    }
+
+    /** {@code otherwise}: what stands in where the key is absent; NaN where it must be there. */
+    private void within(String key, double low, double high, double otherwise) throws ConfigError {
+        String text = flat.get(key);
+        if (text == null && Double.isNaN(otherwise)) {
+            throw new ConfigError("settings." + key, "is missing");
+        }
+        double v;
+        try {
+            v = text == null ? otherwise : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            throw new ConfigError("settings." + key, "not a number: " + text);
+        }
+        if (!(v >= low && v <= high)) {
+            throw new ConfigError("settings." + key, "out of range: " + text);
+        }
+    }
+
+    private Dispatch.Settings settings() throws ConfigError {
+        // Real clients may always be told when to come back; dispatchers have no way to talk to each other.
+        flat.put("permissions.retryAfter", "true");
+        flat.put("permissions.peers", "false");
+        try {
+            return Facts.read(flat);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigError("settings", e.getMessage());
+        }
+    }
+
+    private static List<String> named(JsonObject set, String key) throws ConfigError {
+        List<String> names = new ArrayList<>();
+        if (set.has(key)) {
+            int i = 0;
+            for (JsonElement e : array(set, key)) {
+                String at = "settings." + key + "." + i++;
+                if (!e.isJsonObject() || !e.getAsJsonObject().has("name")) {
+                    throw new ConfigError(at + ".name", "is missing");
+                }
+                names.add(e.getAsJsonObject().get("name").getAsString());
+            }
+        }
+        return List.copyOf(names);
+    }
+
+    private static List<String> strings(JsonObject set, String key) {
+        List<String> names = new ArrayList<>();
+        if (set.has(key) && set.get(key).isJsonArray()) {
+            set.getAsJsonArray(key).forEach(e -> names.add(e.getAsString()));
+        } else if (set.has(key)) {
+            names.addAll(List.of(set.get(key).getAsString().split(",")));
+        }
+        return List.copyOf(names);
+    }
+
+    // ------------------------------------------------------------ the rest
+
+    private static RouteNews known(JsonObject root, Config.Names names) throws ConfigError {
+        if (!root.has("known") || root.get("known").isJsonNull()) {
+            return new RouteNews(RouteNews.Kind.HELD, 0, List.of());
+        }
+        try {
+            RouteNews news = new RouteReader(names.zones(), names.kinds()).read(object(root, "known"));
+            return new RouteNews(RouteNews.Kind.HELD, news.generation(), news.routes());
+        } catch (RouteReader.Malformed e) {
+            throw new ConfigError("known", e.getMessage());
+        }
+    }
+
+    private static long seed(JsonObject root) throws ConfigError {
+        String text = root.has("seed") ? root.get("seed").getAsString() : "0";
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigError("seed", "not a hexadecimal number: " + text);
+        }
+    }
+
+    private static String string(JsonObject root, Map<String, String> env, String key, String variable)
+            throws ConfigError {
+        String text = env.get(variable);
+        if (text == null || text.isEmpty()) {
+            text = root.has(key) && root.get(key).isJsonPrimitive() ? root.get(key).getAsString() : "";
+        }
+        if (text.isEmpty()) {
+            throw new ConfigError(key, "is missing");
+        }
+        return text;
+    }
+
+    private static InetSocketAddress address(String text, String key) throws ConfigError {
+        try {
+            return RouteReader.address(text);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigError(key, "not an address with a port: " + text);
+        }
+    }
+
+    private static double number(JsonObject in, String path, String key, double otherwise)
+            throws ConfigError {
+        try {
+            double v = in.has(key) ? in.get(key).getAsDouble() : otherwise;
+            if (v > 0) {
+                return v;
+            }
+        } catch (RuntimeException e) {
+            // said below
+        }
+        throw new ConfigError(path + key, "not a number above 0");
+    }
+
+    private static JsonObject object(JsonObject in, String key) throws ConfigError {
+        if (!in.has(key) || !in.get(key).isJsonObject()) {
+            throw new ConfigError(key, "must be an object");
+        }
+        return in.getAsJsonObject(key);
+    }
+
+    private static JsonArray array(JsonObject set, String key) throws ConfigError {
+        if (!set.has(key) || !set.get(key).isJsonArray()) {
+            throw new ConfigError("settings." + key, "must be a list");
+        }
+        return set.getAsJsonArray(key);
+    }
+
+    private static List<String> sorted(Set<String> words) {
+        return words.stream().sorted().toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -0,0 +1,330 @@
+package maplespread.facade;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import maplespread.decision.Dispatch;
+import maplespread.decision.Logic;
+import org.tinylog.Logger;
+
+/**
+ * The decision module in blocking style: pick, report, tick. It alone calls {@link Logic}, under one lock and
+ * on one clock, and does no input or output under that lock. It knows nothing of any protocol.
+ */
+public final class Dispatcher {
+    private record Due(long atUs, long order, long label) implements Comparable<Due> {
+        @Override public int compareTo(Due other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
+    }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition pending = lock.newCondition();       // a chore, or an earlier timer
+    private final Logic logic;
+    private final Map<Long, Transaction> open = new HashMap<>(); // until ended and no branch is out
+    private final Map<String, Route> routes = new HashMap<>();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final ArrayDeque<Chore> chores = new ArrayDeque<>();
+    private final long startUs = System.currentTimeMillis() * 1000;
+    private final long startNanos = System.nanoTime();
+    private long lastId;
+    private long timerOrder;
+
+    public Dispatcher(Dispatch.Settings settings, long seed) {
+        logic = new Logic(settings, seed, new Actions());
+    }
+
+    /**
+     * Microseconds of the one clock: Unix time at the start, moved on by the monotonic clock alone, so that a
+     * worker's start can be placed on it and no correction of the system's clock turns it back.
+     */
+    public long nowUs() {
+        return startUs + (System.nanoTime() - startNanos) / 1000;
+    }
+
+    /**
+     * The module's word on the transaction: at first when it is new, then after each branch that ended
+     * unserved. Waits while the module holds it back, but never past its deadline.
+     */
+    public Word pick(Transaction t) throws InterruptedException {
+        lock.lockInterruptibly();
+        try {
+            if (!t.taken) {
+                t.taken = true;
+                t.id = ++lastId;
+                t.changed = lock.newCondition();
+                open.put(t.id, t);
+                if (!guarded("request", () -> logic.request(nowUs(), new Dispatch.Request(t.id, t.cls,
+                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory))) && t.word == null) {
+                    end(t, new Word.Failed());
+                }
+            }
+            while (t.word == null && !t.ended) {
+                long left = t.deadlineUs - nowUs();
+                if (left <= 0) {                                 // guards a request that the module let lie
+                    Logger.warn("transaction {} had no word by its deadline", t.id);
+                    end(t, new Word.Failed());
+                    guarded("gone", () -> logic.gone(nowUs(), t.id));
+                } else {
+                    t.changed.await(left, TimeUnit.MICROSECONDS);
+                }
+            }
+            Word word = t.word == null ? new Word.Failed() : t.word;
+            t.word = null;
+            return word;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The branch's job has started (share 0) or has done this share of its work. */
+    public void report(Branch b, boolean started, double share) {
+        locked(() -> guarded("progress", () -> logic.progress(nowUs(), b.transaction().id, b.number(),
+            b.worker(), started, share)));
+    }
+
+    /** A branch is over. Unless it served, {@link #pick} has the next word. */
+    public void report(Branch b, Outcome outcome, Load load) {
+        locked(() -> {
+            Transaction t = b.transaction();
+            t.out--;
+            if (outcome == Outcome.SERVED) {
+                t.ended = true;
+            }
+            boolean ended = t.ended;
+            if (!guarded("outcome", () -> logic.outcome(nowUs(), t.id, b.number(), b.worker(),
+                verdict(outcome), (nowUs() - b.pickedUs()) / 1000.0, ended, load(load))) && t.word == null) {
+                end(t, new Word.Failed());
+            }
+            forget(t);
+        });
+    }
+
+    /** A probe ended after {@code tookMs}. */
+    public void report(Chore.Probe probe, Outcome outcome, double tookMs, Load load) {
+        locked(() -> guarded("probed", () -> logic.probed(nowUs(), probe.worker(), verdict(outcome), tookMs,
+            load(load))));
+    }
+
+    /** News of the route set. */
+    public void report(RouteNews news) {
+        locked(() -> {
+            boolean whole = news.kind() != RouteNews.Kind.CHANGES;
+            if (whole) {
+                routes.clear();                                  // who is absent from the whole is gone
+            }
+            List<Dispatch.Entry> entries = new ArrayList<>(news.routes().size());
+            for (Route r : news.routes()) {
+                if (r.state() == Route.State.DELETED) {
+                    routes.remove(r.worker());
+                } else {
+                    routes.put(r.worker(), r);
+                }
+                entries.add(new Dispatch.Entry(r.worker(), health(r.state()), r.weight(), r.kind(), r.cell(),
+                    r.zone(), r.startedAtMs()));
+            }
+            Dispatch.ListKind kind = switch (news.kind()) {
+                case CHANGES -> Dispatch.ListKind.CHANGES;
+                case WHOLE -> Dispatch.ListKind.FULL;
+                case HELD -> Dispatch.ListKind.HELD;
+            };
+            guarded("list", () -> logic.list(nowUs(), kind, news.generation(), entries));
+        });
+    }
+
+    /** A watch could not be had or broke. */
+    public void reportWatchLost() {
+        locked(() -> guarded("listFailed", () -> logic.listFailed(nowUs())));
+    }
+
+    /** The client left: no answer is owed. Branches that are out still get their outcome. */
+    public void reportLeft(Transaction t) {
+        locked(() -> {
+            if (t.taken && !t.ended) {
+                Word unread = t.word;
+                end(t, new Word.Left());
+                guarded("gone", () -> logic.gone(nowUs(), t.id));
+                if (unread instanceof Branch b) {                // picked, and nobody will send it now
+                    report(b, Outcome.NEVER_SENT, null);
+                }
+            }
+        });
+    }
+
+    /** Runs the timers that are due and returns the chores, waiting at most so long for either. */
+    public List<Chore> tick(long waitMs) throws InterruptedException {
+        lock.lockInterruptibly();
+        try {
+            long end = nowUs() + waitMs * 1000;
+            while (true) {
+                long now = nowUs();
+                while (!timers.isEmpty() && timers.peek().atUs() <= now) {
+                    long label = timers.remove().label();
+                    guarded("timer", () -> logic.timer(nowUs(), label));
+                }
+                long until = timers.isEmpty() ? end : Math.min(end, timers.peek().atUs());
+                if (!chores.isEmpty() || now >= end) {
+                    List<Chore> all = List.copyOf(chores);
+                    chores.clear();
+                    return all;
+                }
+                pending.await(Math.max(1, until - nowUs()), TimeUnit.MICROSECONDS);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Whether new work may go to the worker now: to be asked again just before a send. */
+    public boolean mayUse(Branch b) {
+        lock.lock();
+        try {
+            Route r = routes.get(b.worker());
+            return r != null && r.state() == Route.State.SERVING && r.address().equals(b.address());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Whether any worker is known that takes work. */
+    public boolean canServe() {
+        lock.lock();
+        try {
+            return routes.values().stream().anyMatch(r -> r.state() == Route.State.SERVING);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The addresses of all workers that are on the list. */
+    public List<String> addresses() {
+        lock.lock();
+        try {
+            return routes.values().stream().map(Route::address).toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ------------------------------------------------------------ under the lock
+
+    private void locked(Runnable work) {
+        lock.lock();
+        try {
+            work.run();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Guards the process: an event that the module rejects costs that event and a line in the log. */
+    private boolean guarded(String event, Runnable call) {
+        try {
+            call.run();
+            return true;
+        } catch (RuntimeException e) {
+            Logger.error(e, "the module rejected an event: {}", event);
+            return false;
+        }
+    }
+
+    private void end(Transaction t, Word word) {
+        t.ended = true;
+        t.word = word;
+        t.changed.signalAll();
+        forget(t);
+    }
+
+    private void forget(Transaction t) {
+        if (t.ended && t.out == 0) {
+            open.remove(t.id);
+        }
+    }
+
+    private static Dispatch.Verdict verdict(Outcome outcome) {
+        return switch (outcome) {
+            case SERVED -> Dispatch.Verdict.OK;
+            case ERROR -> Dispatch.Verdict.ERROR;
+            case TURNED_AWAY -> Dispatch.Verdict.FULL;
+            case TIMED_OUT -> Dispatch.Verdict.TIMEOUT;
+            case NOT_CONNECTED -> Dispatch.Verdict.NO_CONNECTION;
+            case RESET -> Dispatch.Verdict.RESET;
+            case CANCELLED -> Dispatch.Verdict.CANCELLED;
+            case NEVER_SENT -> Dispatch.Verdict.MOOT;
+        };
+    }
+
+    private static Dispatch.Health health(Route.State state) {
+        return switch (state) {
+            case SERVING -> Dispatch.Health.ACTIVE;
+            case DRAINING -> Dispatch.Health.LEAVING;
+            case DELETED -> Dispatch.Health.LEFT;
+        };
+    }
+
+    private static Dispatch.Report load(Load load) {
+        return load == null ? null : new Dispatch.Report(load.figure("active"), load.figure("waiting"),
+            load.figure("cpu"), load.figure("avg_ms"), load.figure("x0"), load.figure("x1"));
+    }
+
+    /** What the module wants done; called back by it under the lock. */
+    private final class Actions implements Dispatch.Actions {
+        @Override public void send(long id, String worker) {
+            Transaction t = open.get(id);
+            Route r = routes.get(worker);
+            Branch b = new Branch(t, t.branches.size(), worker, r == null ? "" : r.address(), nowUs());
+            t.branches.add(b);
+            t.out++;
+            t.word = b;
+            t.changed.signalAll();
+        }
+
+        @Override public void refuse(long id, double pauseMs) {
+            end(open.get(id), new Word.BusyAnswer(pauseMs));
+        }
+
+        @Override public void fail(long id) {
+            end(open.get(id), new Word.Failed());
+        }
+
+        @Override public void cancel(long id, int attempt) {
+            Transaction t = open.get(id);
+            if (t != null && attempt < t.branches.size()) {
+                chore(new Chore.Cancel(t.branches.get(attempt)));
+            }
+        }
+
+        @Override public void probe(String worker) {
+            Route r = routes.get(worker);
+            chore(new Chore.Probe(worker, r == null ? "" : r.address()));
+        }
+
+        @Override public void tell(int to, byte[] message) {
+            // no peers are set up here: the configuration switches these messages off
+        }
+
+        @Override public void watch() {
+            chore(new Chore.Watch());
+        }
+
+        @Override public void timer(double delayMs, long label) {
+            timers.add(new Due(nowUs() + Math.round(delayMs * 1000), ++timerOrder, label));
+            pending.signal();
+        }
+
+        @Override public void log(String line) {
+            Logger.info("module: {}", line);
+        }
+
+        private void chore(Chore chore) {
+            chores.add(chore);
+            pending.signal();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/facade/Load.java
@@ -0,0 +1,10 @@
+package maplespread.facade;
+
+import java.util.Map;
+
+/** A worker's load report: its figures by the names that the settings give them. */
+public record Load(Map<String, Double> figures) {
+    double figure(String name) {
+        return figures.getOrDefault(name, Double.NaN);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -0,0 +1,39 @@
+package maplespread.facade;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.Condition;
+
+/**
+ * One request of a client, as far as decisions go; it knows no protocol. The network code makes it and asks
+ * for words about it; what the dispatcher notes here is guarded by the dispatcher's lock.
+ */
+public final class Transaction {
+    final int cls;
+    final int tenant;
+    final long deadlineUs;
+    final double workMs;
+    final double slots;
+    final double memory;
+    final List<Branch> branches = new ArrayList<>(2);
+    long id;
+    boolean taken;
+    boolean ended;                                               // no further branch, whatever comes
+    int out;                                                     // branches without an outcome
+    Word word;
+    Condition changed;
+
+    /** {@code deadlineUs}: on {@link Dispatcher#nowUs}; {@code workMs}: NaN where no estimate came. */
+    public Transaction(int cls, int tenant, long deadlineUs, double workMs, double slots, double memory) {
+        this.cls = cls;
+        this.tenant = tenant;
+        this.deadlineUs = deadlineUs;
+        this.workMs = workMs;
+        this.slots = slots;
+        this.memory = memory;
+    }
+
+    public long deadlineUs() {
+        return deadlineUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -0,0 +1,115 @@
+package maplespread.http;
+
+import java.io.Closeable;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+
+/** A blocking socket with its input buffer. Every read has a time limit. */
+public final class HttpConnection implements Closeable {
+    private static final int BUFFER = 8 * 1024;
+    private final Socket socket;
+    private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER).flip();
+
+    public HttpConnection(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setTcpNoDelay(true);
+    }
+
+    /** Connects within the limit. */
+    public static HttpConnection dial(InetSocketAddress address, long limitMs) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(address, (int) Math.max(1, limitMs));
+            return new HttpConnection(socket);
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Bytes that came and were not taken in yet. */
+    public ByteBuffer buffer() {
+        return buffer;
+    }
+
+    /** Waits for more bytes; false when the peer has ended its sending. */
+    public boolean fill(long limitMs) throws IOException {
+        if (buffer.hasRemaining()) {
+            return true;
+        }
+        socket.setSoTimeout((int) Math.max(1, Math.min(limitMs, Integer.MAX_VALUE)));
+        int n = socket.getInputStream().read(buffer.array(), 0, buffer.capacity());
+        if (n < 0) {
+            return false;
+        }
+        buffer.position(0).limit(n);
+        return true;
+    }
+
+    /** Reads until the message is whole; the limit is on all of it. */
+    public void receive(HttpParser parser, long limitMs) throws IOException {
+        long end = System.nanoTime() + limitMs * 1_000_000;
+        while (!parser.feed(buffer)) {
+            long left = (end - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                throw new SocketTimeoutException("message not whole in time");
+            }
+            if (!fill(left)) {
+                if (parser.endsWithClose()) {
+                    return;
+                }
+                throw new EOFException("connection ended inside a message");
+            }
+        }
+    }
+
+    /** Writes the bytes in one go, so that head and body share their fate. */
+    public void send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+    }
+
+    /**
+     * Whether an idle connection has ended or brought bytes nobody asked for. Guards against a request that
+     * is written to a connection which the peer has closed: it would end as a reset that may have run.
+     */
+    public boolean stale() {
+        try {
+            fill(1);
+            return true;                                         // an end, or bytes out of turn
+        } catch (SocketTimeoutException silent) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Ends the sending only: what was written still arrives. */
+    public void endSending() {
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /** Makes a blocked or later read see the end. */
+    public void endReading() {
+        try {
+            socket.shutdownInput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    @Override public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // nothing is left to be done with it
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -0,0 +1,102 @@
+package maplespread.routes;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import maplespread.config.Config;
+import maplespread.facade.Dispatcher;
+import maplespread.facade.RouteNews;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpError;
+import maplespread.http.HttpParser;
+import maplespread.http.HttpWriter;
+import maplespread.http.Lines;
+import org.tinylog.Logger;
+
+/**
+ * Follows discovery's list on one thread. When to subscribe is the module's word; each watch that ends is
+ * reported, and the module asks again after its jittered back-off.
+ */
+public final class RouteSet implements Runnable {
+    private static final int LONGEST_LINE = 1 << 20;
+    private final Config config;
+    private final Dispatcher dispatcher;
+    private final RouteReader reader;
+    private long generation;
+    private boolean wanted;
+    private boolean following;
+
+    public RouteSet(Config config, Dispatcher dispatcher) {
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.reader = new RouteReader(config.names().zones(), config.names().kinds());
+        this.generation = config.known().generation();
+    }
+
+    /** Asks for a watch; passed over while one is on. */
+    public synchronized void watch() {
+        wanted |= !following;
+        notifyAll();
+    }
+
+    @Override public void run() {
+        try {
+            while (true) {
+                synchronized (this) {
+                    following = false;
+                    while (!wanted) {
+                        wait();
+                    }
+                    wanted = false;
+                    following = true;
+                }
+                try {
+                    follow();
+                    Logger.info("the watch ended");
+                } catch (IOException e) {
+                    Logger.info("the watch broke: {}", e.getMessage());
+                }
+                synchronized (this) {
+                    following = false;                           // before the report: it may ask anew at once
+                }
+                dispatcher.reportWatchLost();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * One watch, until it ends. Discovery sends a line every two seconds; a longer silence means that it or
+     * the way to it is gone without a word, while drains go on unseen.
+     */
+    private void follow() throws IOException {
+        InetSocketAddress address = config.discovery();
+        try (HttpConnection link = HttpConnection.dial(address, config.times().watchSilenceMs() / 2)) {
+            String host = address.getHostString() + ':' + address.getPort();
+            link.send(HttpWriter.request("GET", "/v1/endpoints?follow=1&since=" + generation, host).bytes());
+            HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE, this::line));
+            while (!parser.feed(link.buffer())) {
+                if (parser.headDone() && parser.head().status() != 200) {
+                    throw new IOException("discovery answered " + parser.head().status());
+                }
+                if (!link.fill(config.times().watchSilenceMs())) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void line(String text) throws HttpError {
+        if (text.isEmpty()) {
+            return;
+        }
+        RouteNews news;
+        try {
+            news = reader.read(text);
+        } catch (RouteReader.Malformed e) {
+            throw new HttpError(502, "malformed line: " + e.getMessage());
+        }
+        generation = news.generation();
+        dispatcher.report(news);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -0,0 +1,190 @@
+package maplespread.worker;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import maplespread.facade.Branch;
+import maplespread.facade.Dispatcher;
+import maplespread.facade.Load;
+import maplespread.facade.Outcome;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpError;
+import maplespread.http.HttpHead;
+import maplespread.http.HttpParser;
+import maplespread.http.HttpWriter;
+import maplespread.http.Lines;
+
+/** Runs branches: one request to one worker each, sent once and never again by itself. */
+public final class Branches {
+    private static final int LONGEST_LINE = 256 * 1024;          // a result of 64 KiB, escaped
+    private static final long MOST_BYTES = 1 << 20;
+    private static final long TAIL_MS = 50;                      // for the final chunk after the final line
+
+    /** A branch that is out: where it can be cut off. */
+    private static final class Running {
+        HttpConnection connection;
+        boolean cancelled;
+
+        synchronized void over(HttpConnection c) {
+            connection = c;
+            if (cancelled) {
+                c.close();
+            }
+        }
+
+        synchronized void cancel() {
+            cancelled = true;
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        synchronized boolean cancelled() {
+            return cancelled;
+        }
+    }
+
+    /** How a branch ended; {@link #finish} is to be called once its outcome has been passed on. */
+    public final class Ended {
+        public final Outcome outcome;
+        public final byte[] result;
+        public final Load load;
+        private final Links.Link link;                           // null where it cannot carry another request
+        private final HttpParser parser;
+
+        private Ended(Outcome outcome, byte[] result, Load load, Links.Link link, HttpParser parser) {
+            this.outcome = outcome;
+            this.result = result;
+            this.load = load;
+            this.link = link;
+            this.parser = parser;
+        }
+
+        /** Keeps the connection where the answer ends with its whole final chunk in time, else closes it. */
+        public void finish() {
+            if (link == null) {
+                return;
+            }
+            try {
+                link.connection.receive(parser, TAIL_MS);
+                if (parser.done() && parser.head().keepsAlive() && !link.connection.buffer().hasRemaining()) {
+                    links.release(link);
+                    return;
+                }
+            } catch (IOException e) {
+                // not whole: closed below
+            }
+            link.connection.close();
+        }
+    }
+
+    private final Links links;
+    private final Dispatcher dispatcher;
+    private final Seldom seldom = new Seldom();
+    private final Map<Branch, Running> running = new ConcurrentHashMap<>();
+
+    public Branches(Links links, Dispatcher dispatcher) {
+        this.links = links;
+        this.dispatcher = dispatcher;
+    }
+
+    /** Gives a branch up by closing its connection. */
+    public void cancel(Branch branch) {
+        Running r = running.get(branch);
+        if (r != null) {
+            r.cancel();
+        }
+    }
+
+    /** Sends the message and waits for the branch's end, at most until its transaction's deadline. */
+    public Ended run(Branch branch, Message message) {
+        Running me = new Running();
+        running.put(branch, me);
+        try {
+            return run(branch, message, me);
+        } finally {
+            running.remove(branch);
+        }
+    }
+
+    private Ended run(Branch branch, Message message, Running me) {
+        Links.Link link;
+        try {
+            link = links.get(branch.address(), Math.max(1, leftMs(branch)));
+        } catch (IOException | IllegalArgumentException e) {
+            return ended(me.cancelled() ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED);
+        }
+        me.over(link.connection);
+        // A drain may have been told while the connection came up: nothing new goes there after that.
+        long left = leftMs(branch);
+        if (!dispatcher.mayUse(branch) || me.cancelled() || left <= 0) {
+            links.release(link);
+            return ended(Outcome.NEVER_SENT);
+        }
+        HttpWriter request = HttpWriter.request(message.method(), message.target(), branch.address())
+            .field("X-Txn", message.id()).field("X-Remaining-Ms", Long.toString(left));
+        message.fields().forEach(f -> request.field(f[0], f[1]));
+        try {
+            link.connection.send(request.body(message.body()));
+        } catch (IOException e) {                                // its last byte was never written
+            link.connection.close();
+            return ended(Outcome.NOT_CONNECTED);
+        }
+        return answer(branch, message, me, link);
+    }
+
+    private Ended answer(Branch branch, Message message, Running me, Links.Link link) {
+        JobLines lines = new JobLines(message.id(), (started, share) ->
+            dispatcher.report(branch, started, share));
+        HttpParser parser = HttpParser.response(MOST_BYTES, new Lines(LONGEST_LINE, lines::line));
+        try {
+            while (lines.outcome == null) {
+                boolean whole = parser.feed(link.connection.buffer());
+                if (parser.headDone() && parser.head().status() != 200) {
+                    return new Ended(refused(parser.head()), null,
+                        JobLines.load(parser.head().get("X-Pressure")), link, parser);
+                }
+                if (lines.outcome != null) {
+                    break;
+                }
+                if (whole) {                                     // ended before the last line
+                    link.connection.close();
+                    return ended(Outcome.RESET);
+                }
+                long left = leftMs(branch);
+                if (left <= 0) {
+                    throw new SocketTimeoutException();
+                }
+                if (!link.connection.fill(left)) {
+                    link.connection.close();
+                    return ended(Outcome.RESET);
+                }
+            }
+            return new Ended(lines.outcome, lines.result, lines.load, link, parser);
+        } catch (SocketTimeoutException e) {
+            link.connection.close();
+            return ended(Outcome.TIMED_OUT);
+        } catch (IOException e) {
+            link.connection.close();
+            if (e instanceof HttpError) {
+                seldom.warn("malformed answer of worker " + branch.worker() + ": " + e.getMessage());
+            }
+            return ended(me.cancelled() ? Outcome.CANCELLED : Outcome.RESET);
+        }
+    }
+
+    /** Only a marked 503 or 504 proves that the job never ran. */
+    private static Outcome refused(HttpHead head) {
+        boolean away = "1".equals(head.get("X-Turned-Away"));
+        return away && (head.status() == 503 || head.status() == 504) ? Outcome.TURNED_AWAY : Outcome.ERROR;
+    }
+
+    private long leftMs(Branch branch) {
+        return (branch.transaction().deadlineUs() - dispatcher.nowUs()) / 1000;
+    }
+
+    private Ended ended(Outcome outcome) {
+        return new Ended(outcome, null, null, null, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/worker/Links.java
@@ -0,0 +1,94 @@
+package maplespread.worker;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import maplespread.config.Config;
+import maplespread.http.HttpConnection;
+import maplespread.routes.RouteReader;
+
+/** The connections to workers: each carries one request at a time; idle ones wait here for the next. */
+public final class Links {
+    /** One connection, and whether it has carried a request before. */
+    static final class Link {
+        final HttpConnection connection;
+        final String address;
+        long idleSince;
+
+        Link(HttpConnection connection, String address) {
+            this.connection = connection;
+            this.address = address;
+        }
+    }
+
+    private static final long QUIET_NANOS = 200_000_000L;        // idle for longer: looked at before its use
+    private final Config config;
+    private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
+    private int idleCount;
+
+    public Links(Config config) {
+        this.config = config;
+    }
+
+    /** An idle connection to the address, the one used last, or a new one; connects within the limit. */
+    Link get(String address, long limitMs) throws IOException {
+        Link link;
+        while ((link = takeIdle(address)) != null) {
+            if (System.nanoTime() - link.idleSince < QUIET_NANOS || !link.connection.stale()) {
+                return link;
+            }
+            link.connection.close();
+        }
+        InetSocketAddress to = RouteReader.address(address);
+        return new Link(HttpConnection.dial(to, Math.min(limitMs, config.times().dialMs())), address);
+    }
+
+    private synchronized Link takeIdle(String address) {
+        ArrayDeque<Link> links = idle.get(address);
+        Link link = links == null ? null : links.pollLast();
+        idleCount -= link == null ? 0 : 1;
+        return link;
+    }
+
+    /** Takes a connection back after a whole answer. */
+    void release(Link link) {
+        synchronized (this) {
+            if (idleCount < config.sizes().idleLinks()) {
+                link.idleSince = System.nanoTime();
+                idle.computeIfAbsent(link.address, a -> new ArrayDeque<>()).addLast(link);
+                idleCount++;
+                return;
+            }
+        }
+        link.connection.close();
+    }
+
+    /**
+     * Closes what has idled for two thirds of the time after which a worker's machine closes it (a request
+     * written after that ends as a reset that may have run), and what leads to a worker no longer listed.
+     */
+    public void sweep(Collection<String> listed) {
+        ArrayDeque<Link> old = new ArrayDeque<>();
+        long limit = config.times().linkIdleMs() * 1_000_000;
+        synchronized (this) {
+            for (Iterator<Map.Entry<String, ArrayDeque<Link>>> i = idle.entrySet().iterator(); i.hasNext();) {
+                Map.Entry<String, ArrayDeque<Link>> e = i.next();
+                boolean gone = !listed.contains(e.getKey());
+                ArrayDeque<Link> links = e.getValue();
+                while (!links.isEmpty()
+                    && (gone || System.nanoTime() - links.peekFirst().idleSince > limit)) {
+                    old.add(links.removeFirst());
+                    idleCount--;
+                }
+                if (links.isEmpty()) {
+                    i.remove();
+                }
+            }
+        }
+        old.forEach(l -> l.connection.close());
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -0,0 +1,57 @@
+package maplespread.worker;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import maplespread.config.Config;
+import maplespread.facade.Chore;
+import maplespread.facade.Dispatcher;
+import maplespread.facade.Load;
+import maplespread.facade.Outcome;
+import maplespread.http.HttpParser;
+import maplespread.http.HttpWriter;
+
+/** Asks a worker for its load and reports what came of it. */
+public final class Prober {
+    private static final int MOST_BYTES = 16 * 1024;
+    private final Config config;
+    private final Links links;
+    private final Dispatcher dispatcher;
+
+    public Prober(Config config, Links links, Dispatcher dispatcher) {
+        this.config = config;
+        this.links = links;
+        this.dispatcher = dispatcher;
+    }
+
+    public void probe(Chore.Probe probe) {
+        long start = System.nanoTime();
+        Load load = null;
+        Outcome outcome;
+        Links.Link link = null;
+        try {
+            link = links.get(probe.address(), config.times().dialMs());
+            outcome = Outcome.RESET;
+            link.connection.send(HttpWriter.request("GET", "/status/load", probe.address()).bytes());
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            HttpParser parser = HttpParser.response(MOST_BYTES, body::write);
+            link.connection.receive(parser, config.times().probeMs());
+            outcome = parser.head().status() == 200 ? Outcome.SERVED : Outcome.ERROR;
+            load = JobLines.load(body.toString(StandardCharsets.UTF_8));
+            load = load == null ? JobLines.load(parser.head().get("X-Pressure")) : load;
+            if (parser.done() && parser.head().keepsAlive()) {
+                links.release(link);
+                link = null;
+            }
+        } catch (SocketTimeoutException e) {
+            outcome = link == null ? Outcome.NOT_CONNECTED : Outcome.TIMED_OUT;
+        } catch (IOException | RuntimeException e) {
+            outcome = link == null ? Outcome.NOT_CONNECTED : Outcome.RESET;
+        }
+        if (link != null) {
+            link.connection.close();
+        }
+        dispatcher.report(probe, outcome, (System.nanoTime() - start) / 1e6, load);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/worker/Seldom.java
@@ -0,0 +1,20 @@
+package maplespread.worker;
+
+import org.tinylog.Logger;
+
+/** Warnings that a bad peer could cause without end: one a second at most. */
+final class Seldom {
+    private long lastNanos = System.nanoTime() - 1_000_000_000L;
+    private int held;
+
+    synchronized void warn(String text) {
+        long now = System.nanoTime();
+        if (now - lastNanos < 1_000_000_000L) {
+            held++;
+            return;
+        }
+        Logger.warn("{}{}", text, held > 0 ? " (and " + held + " like it)" : "");
+        lastNanos = now;
+        held = 0;
+    }
+}
