Price data sets, count slots and learn unseen queues from late starts

Causes, in Logic.java: price() and late() knew nothing of a job's data set, so that every worker fetched every set from the one store; own was counted without the job's slots; and a full worker's report (x0 = 0), which hides its queue, was taken for the whole of others' work in report(). Conclusion: single placement by rule (25) holds; the backlogs it weighs were wrong.

--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -74,7 +74,7 @@
         }
         message = new Message(head.method(), head.target(), id, passedOn(head), body);
         transaction = new Transaction(cls, tenant, lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US,
-            workMs, slots, memory);
+            workMs, slots, memory, one(head, "X-Entity"));
     }
 
     private static List<String[]> passedOn(HttpHead head) {
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -111,9 +111,18 @@
     public record Entry(String worker, Health health, double rating, int kind, int cell, int zone,
                         double upSinceMs) { }
 
-    /** A request taken by this node. {@code deadlineUs}: when its client stops waiting. */
+    /**
+     * A request taken by this node. {@code deadlineUs}: when its client stops waiting; {@code key}: what it
+     * concerns, or null.
+     */
     public record Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
-                          double memory) { }
+                          double memory, String key) {
+        /** A request without a key. */
+        public Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
+                       double memory) {
+            this(id, cls, tenant, deadlineUs, workMs, slots, memory, null);
+        }
+    }
 
     /**
      * A worker's load report; NaN where a figure is absent. {@code util} is the share of its CPU that is
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +18,7 @@
  * All decisions of a node; its interface (settings, events, actions) is in Dispatch.java. The design is rule
  * (25) of "Meeting Soft Deadlines in Single- and Multi-Server Systems"; docs/design.md says what was kept and
  * changed. Parts: events, roster, worker, value function, request, placement, upkeep. Times are milliseconds,
- * work is milliseconds on a standard core. Maps are looked up, never walked, so nothing hangs on hash order.
+ * work is milliseconds on a standard core. Nothing hangs on the order of a hash map.
  */
 public final class Logic implements Dispatch.Events {
     private static final long TICK = 1;
@@ -247,18 +248,21 @@
         boolean named, down, probing;
         double upSince, coldAt = Double.NEGATIVE_INFINITY, own;  // own: hinted work pushed and not finished
         double foreign, foreignAt = Double.NEGATIVE_INFINITY;    // others' requests by its reports
-        boolean free;                                            // departure "free slot", at last refresh
         double openUntil, conns, memory, foreignMemory;          // idle connections; units held, by others
         double work, time, learnAt, slots;                      // done work, the time it took, forgetting
         double service = Double.NaN;                             // its last reported service time
         double speed = 1, cap = 1, extra, u;                     // core speed, c, unseen work, u: refreshed
         double reportAt = Double.NEGATIVE_INFINITY, tryAt, lostAt;
+        double inUse;                                            // slots of the held jobs
         double saved, savedAt, fullAt;                           // of its share of the cold budget
         double logHint, logRun, runs;                            // recent means, see compare
         double shadow, shadowAt, shadowSeen, shadowLost;
+        final long idHash;
+        final Map<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);   // keys last sent from here
 
         Worker(String id) {
             this.id = id;
+            idHash = hash(id);
             peers = words.sum(id);
         }
 
@@ -270,8 +274,7 @@
             speed = clamp((work * keep + 2 * m) / (time * keep + 2 * m / kind.speed), 0.02, 50);
             cap = speed * slots() * warmth();
             extra = foreignWork();
-            u = (own + extra) / cap;
-            free = held.size() + extra / m + 0.5 < slots();      // the next job starts at once
+            u = (own + extra) / cap + outwaited();
             if (isCold()) {
                 saved = Math.min(saved + coldBudget() * (now - savedAt) / rules.fallMs(), coldMost());
                 fullAt = saved < coldMost() ? now : fullAt;
@@ -280,6 +283,23 @@
             }
         }
 
+        /**
+         * Departure "late start": by how much the longest waiting job from here has outwaited its estimate.
+         * The queue ahead of it is longer than pushes and reports tell, or the worker stands still.
+         */
+        double outwaited() {
+            double over = 0;
+            for (Attempt a : held) {
+                over = Double.isNaN(a.startAt) ? Math.max(over, now - aim / 8 - a.sentAt - a.wait) : over;
+            }
+            return set.tellsStart() ? over : 0;
+        }
+
+        /** Departure "free slot": the job starts at once, as far as pushes and reports tell. */
+        boolean free(Req q) {
+            return inUse + extra / meanAll() + q.slots - 0.5 < slots();
+        }
+
         double slots() {
             return Math.max(1, Math.rint(slots > 0 ? slots : kind.slots > 0 ? kind.slots : 2));
         }
@@ -327,7 +347,7 @@
                 service = r.serviceMs();
                 learn(meanAll() / 2, service / 2);               // a recent mean over all nodes' jobs
             }
-            double mine = Math.min(held.size(), slots()), others = slots() - r.freeSlots() - mine;
+            double mine = Math.min(inUse, slots()), others = slots() - r.freeSlots() - mine;
             if (r.active() >= 0) {
                 others = r.active() - held.size();
                 if (r.freeSlots() > 0.5) {
@@ -338,7 +358,9 @@
             }
             if (!Double.isNaN(others)) {
                 double keep = 0.5 * fade((now - foreignAt) * speed / (2 * meanAll()));
-                foreign = keep * foreign + (1 - keep) * Math.max(0, others);
+                // A full worker's free slots say nothing of its queue: then the figure is a lower bound.
+                foreign = r.active() >= 0 || r.freeSlots() > 0.5
+                    ? keep * foreign + (1 - keep) * Math.max(0, others) : Math.max(foreign, others);
                 foreignAt = now;
                 kind.unseen += 0.05 * (Math.max(0, others) * meanAll() / cap - kind.unseen);
             }
@@ -353,13 +375,17 @@
         void ran(Attempt a, double share) {
             if (Double.isNaN(a.startAt)) {
                 a.startAt = now;
-                double running = held.stream().filter(b -> !Double.isNaN(b.startAt)).count();
+                double running = held.stream().filter(b -> !Double.isNaN(b.startAt))
+                    .mapToDouble(b -> b.req.slots).sum();
                 slots = running > slots() ? running : slots;
+                double off = now - a.sentAt - a.wait;            // what of the queue was not seen then
+                foreign = Math.max(0, foreign + 0.5 * (off - clamp(off, 0, aim / 8)) * cap / meanAll());
+                foreignAt = now;
             } else if (share > a.share) {
-                learn(a.x * (share - a.share), now - a.noteAt);
+                learn(a.x * (share - a.share), a.spent());
             }
             a.noteAt = now;
-            own -= a.x * Math.max(0, share - a.share);
+            own -= a.work * Math.max(0, share - a.share);
             a.share = Math.max(share, a.share);
         }
 
@@ -387,7 +413,8 @@
             if (held.isEmpty()) {
                 busy.remove(this);
             }
-            double rest = a.x * (1 - a.share);
+            double rest = a.work * (1 - a.share);
+            inUse = held.isEmpty() ? 0 : inUse - a.req.slots;
             if (!a.neverRan && v != Verdict.CANCELLED && !a.late) {
                 tried(a.req.cls, v == Verdict.OK ? 0 : 1);
             }
@@ -398,7 +425,7 @@
                         compare(this, a.req.logHint, Double.isNaN(a.startAt) ? lag : now - a.startAt);
                     }
                     if (!Double.isNaN(a.startAt)) {
-                        learn(rest, now - a.noteAt);
+                        learn(a.x * (1 - a.share), a.spent());
                     } else if (a.free && Double.isNaN(service)) {
                         learn(a.x, lag);
                     }
@@ -461,6 +488,15 @@
             return Math.max(coldBudget() / 2, meanAll());
         }
 
+        void keep(long key) {
+            if (key != 0) {
+                kept.put(key, true);
+                if (kept.size() > KEPT * slots()) {
+                    kept.remove(kept.keySet().iterator().next());
+                }
+            }
+        }
+
         /** An idle connection stands open, as far as this node's own traffic tells. */
         boolean connected() {
             return now < openUntil && held.size() < conns;
@@ -553,7 +589,7 @@
             Worker w = workers.get(i);
             double u = Math.max(0, w.shadow - (now - w.shadowAt) / crowd);
             int lost = u > tau(q.cls) ? 1 : 0;
-            w.shadow = u + (1 - lost) * q.x / w.cap;
+            w.shadow = u + (1 - lost) * q.x * q.slots / w.cap;
             w.shadowAt = now;
             w.shadowSeen = w.shadowSeen * 0.98 + 1;
             w.shadowLost = w.shadowLost * 0.98 + lost;
@@ -595,19 +631,29 @@
     private final class Attempt {
         final Req req;
         final Worker worker;
-        final double x, sentAt, due;
+        final double x, work, sentAt, due;                       // work: all that it keeps from others
         final boolean free, dialed;                              // to a free slot; over a new connection
+        final double fetch, wait;                                // both as estimated when it was sent
         double startAt = Double.NaN, noteAt, share;
         boolean over, neverRan, late;                            // late: overdue, and counted as failed
 
+        /** Time since the last note, without what the fetch is likely to have taken of it. */
+        double spent() {
+            double took = now - noteAt;
+            return share > 0 ? took : Math.max(took / 2, took - fetch);
+        }
+
         Attempt(Req req, Worker worker) {
             this.req = req;
             this.worker = worker;
             x = req.x;
+            fetch = fetch(req, worker);
+            work = (x + fetch * worker.speed) * req.slots;
             sentAt = now;
-            free = worker.free;
+            free = worker.free(req);
             dialed = !worker.connected();
-            due = now + (free ? 0 : worker.u) + x / worker.speed;
+            wait = free ? 0 : worker.u;
+            due = now + wait + x / worker.speed + fetch;
         }
     }
 
@@ -619,10 +665,16 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<Worker> asked = new ArrayList<>(LOOKS);       // probed for it
         final List<Worker> unheard = new ArrayList<>(LOOKS);     // of these, not answered yet
+        long key;                                                // hash of what it concerns; 0: nothing
+        Worker home, second;                                     // where its key belongs, by hash
         double x, weight, logHint = Double.NaN;                  // hinted work; worth over the mean's
         int out, rounds;                                         // attempts out; looks taken
         boolean ended, streaming;
 
+        double rank(Worker w) {
+            return mix(key ^ w.idHash) >>> 1;
+        }
+
         Req(Request r) {
             id = r.id();
             cls = r.cls();
@@ -632,6 +684,7 @@
             x = r.workMs() > 1e-4 * aim && r.workMs() < 1e3 * spec.deadlineMs() ? r.workMs() : Double.NaN;
             memory = r.memory() > 0 && r.memory() < 1000 ? r.memory() : 0;
             slots = r.slots() > 0 && r.slots() < 1000 ? r.slots() : 1;
+            key = r.key() == null || r.key().isEmpty() ? 0 : hash(r.key()) | 1;
         }
 
         /** Rules 1 and 2: may it be sent to w, as far as it and its earlier attempts go? */
@@ -707,7 +760,7 @@
         for (Worker w : q.asked) {
             seen = costs[w.at] < (seen == null ? REFUSED : costs[seen.at]) ? w : seen;
         }
-        boolean sure = seen != null && seen.free && late(q, seen, 0) < 0.5;
+        boolean sure = seen != null && seen.free(q) && late(q, seen, 0) < 0.5;
         if (best != null && !sure && look(q, best)) {
             return;
         }
@@ -784,6 +837,7 @@
     private void priceAll(Req q, boolean any) {
         priced = q;
         allowed = false;
+        homes(q);
         for (int i = 0; i < workers.size(); i++) {
             costs[i] = price(q, workers.get(i), any);
             allowed |= costs[i] < Double.POSITIVE_INFINITY;
@@ -806,11 +860,12 @@
         // Departure "memory": a job starts at once only where its memory has room too, by pushes and report.
         boolean fits = q.memory == 0 || q.memory + w.memory
             + w.foreignMemory * fade((now - w.reportAt) / meanAll()) <= w.slots();
-        double d = late(q, w, !fits ? Math.max(w.u, meanAll() / w.cap) : w.free ? 0 : w.u);
+        double d = late(q, w, !fits ? Math.max(w.u, meanAll() / w.cap) : w.free(q) ? 0 : w.u);
         // Departure "late worth": an answer past the aim but before the deadline keeps that share.
         d *= now + w.u + q.x / w.speed < q.deadline ? 1 - q.spec.lateShare() : 1;
         // Departure "worth": the increase counts mean jobs; set against refusing this one, at one.
-        double tau = tau(q.cls), cost = d + increase(w, w.u, q.x / w.cap, tau) / q.weight;
+        double tau = tau(q.cls), g = (q.x + fetch(q, w) * w.speed) * q.slots / w.cap;
+        double cost = d + increase(w, w.u, g, tau) / q.weight;
         // Departure "crossing": its price chooses among workers but refuses nothing by itself.
         double toll = w.zone == set.zone() ? 0 : set.crossZone() / q.weight;
         // Departure "open connections": so does the time that a new one is likely to lose.
@@ -824,10 +879,55 @@
      */
     private double late(Req q, Worker w, double wait) {
         double left = Math.min(q.spec.aimMs() + q.spec.stretch() * q.x - (now - q.arrived), q.deadline - now);
-        double takes = wait + q.x / w.speed;
+        double takes = wait + q.x / w.speed + fetch(q, w);
         return clamp(0.5 + 2 * (takes - left) / takes, 0, 1);
     }
 
+    /**
+     * Departure "key": a miss is priced as this many mean jobs. Its own wait is under one, but it also takes
+     * of the store that all share and drives out a set that others will miss. HOME, OTHER and SECOND: how
+     * likely a miss is at the key's home, where it went from here lately, and at its second choice.
+     */
+    private static final double FETCH = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
+    private static final double KEPT = 1.4;                      // data sets that a worker keeps a slot
+
+    /** Highest random weight: all nodes find the same home for a key without a word between them. */
+    private void homes(Req q) {
+        q.home = null;
+        q.second = null;
+        for (int i = 0; q.key != 0 && i < workers.size(); i++) {
+            Worker w = workers.get(i);
+            if (w.health == Health.ACTIVE && !w.down) {
+                if (q.home == null || q.rank(w) > q.rank(q.home)) {
+                    q.second = q.home;
+                    q.home = w;
+                } else if (q.second == null || q.rank(w) > q.rank(q.second)) {
+                    q.second = w;
+                }
+            }
+        }
+    }
+
+    /** The price of the data set that a job may have to wait for at w, holding its slots, as time. */
+    private double fetch(Req q, Worker w) {
+        double miss = w == q.home ? HOME : w.kept.containsKey(q.key) ? OTHER : w == q.second ? SECOND : 1;
+        return q.key == 0 ? 0 : FETCH * miss * meanAll();
+    }
+
+    private static long hash(String text) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return mix(h);
+    }
+
+    private static long mix(long h) {
+        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
+        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
+        return h ^ h >>> 32;
+    }
+
     private void send(Req q, Worker w) {
         Attempt a = new Attempt(q, w);
         if (w.held.isEmpty()) {
@@ -836,7 +936,9 @@
         q.attempts.add(a);
         q.out++;
         w.held.add(a);
-        w.own += a.x;
+        w.own += a.work;
+        w.inUse += q.slots;
+        w.keep(q.key);
         w.memory += q.memory;
         w.saved -= Math.max(a.x, meanAll());
         w.refresh();
--- a/src/main/java/maplespread/drill/WireAdapter.java
+++ b/src/main/java/maplespread/drill/WireAdapter.java
@@ -102,7 +102,7 @@
                 case "directory_update" -> directory(now, logic);
                 case "arrival" -> logic.request(now, new Dispatch.Request(id(), integer("priority"),
                     (int) opt("tenant", 0), micros(num("dropDeadMs")), opt("workHintMs", Double.NaN),
-                    opt("coresNeeded", 1), opt("ramUnits", 0)));
+                    opt("coresNeeded", 1), opt("ramUnits", 0), find("targetKey")));
                 case "opened" -> logic.opened(now, id(), integer("roundNo"), text("executor"));
                 case "note" -> {
                     int topic = integer("topic");
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -61,7 +61,7 @@
                 t.changed = lock.newCondition();
                 open.put(t.id, t);
                 if (!guarded("request", () -> logic.request(nowUs(), new Dispatch.Request(t.id, t.cls,
-                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory))) && t.word == null) {
+                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory, t.key))) && t.word == null) {
                     end(t, new Word.Failed());
                 }
             }
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -15,6 +15,7 @@
     final double workMs;
     final double slots;
     final double memory;
+    final String key;
     final List<Branch> branches = new ArrayList<>(2);
     long id;
     boolean taken;
@@ -23,14 +24,19 @@
     Word word;
     Condition changed;
 
-    /** {@code deadlineUs}: on {@link Dispatcher#nowUs}; {@code workMs}: NaN where no estimate came. */
-    public Transaction(int cls, int tenant, long deadlineUs, double workMs, double slots, double memory) {
+    /**
+     * {@code deadlineUs}: on {@link Dispatcher#nowUs}; {@code workMs}: NaN where no estimate came;
+     * {@code key}: what it concerns, or null.
+     */
+    public Transaction(int cls, int tenant, long deadlineUs, double workMs, double slots, double memory,
+            String key) {
         this.cls = cls;
         this.tenant = tenant;
         this.deadlineUs = deadlineUs;
         this.workMs = workMs;
         this.slots = slots;
         this.memory = memory;
+        this.key = key;
     }
 
     public long deadlineUs() {
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -328,6 +328,72 @@
         assertTrue(sent >= 1 && sent <= 12, "sent " + sent);
     }
 
+    private static Host eight() {
+        Entry[] entries = new Entry[8];
+        for (int i = 0; i < 8; i++) {
+            entries[i] = Host.entry("w" + i, 0, 0);
+        }
+        return host(Effect.READ_LIKE, Group.ALL, entries);
+    }
+
+    private static String sentTo(Host h, long id, String key) {
+        h.calls.put(id, new Host.Call());
+        h.calls.get(id).spec = h.set.classes().get(0);
+        h.calls.get(id).deadline = h.now + 9000;
+        h.node.request(h.us(), new Request(id, 0, 0, Math.round((h.now + 9000) * 1000), 100, 1, 0, key));
+        return h.calls.get(id).tries.get(0).worker;
+    }
+
+    /** Guards the shared store: jobs of a key stay together, and all nodes find the same place for it. */
+    @Test void jobsOfAKeyGoWhereItIsKeptAndNodesAgree() {
+        Host one = eight(), other = eight();
+        java.util.Set<String> places = new java.util.HashSet<>();
+        for (int i = 1; i <= 40; i++) {
+            String key = "fn:" + i % 10, at = sentTo(one, i, key);
+            one.settle(i, Verdict.OK);
+            assertEquals(at, sentTo(other, i, key), "another node, the same home");
+            other.settle(i, Verdict.OK);
+            places.add(key + at);
+        }
+        assertEquals(10, places.size(), "one place for each key: " + places);
+    }
+
+    /** Guards against a full worker: a key's home that is behind in its work is passed over. */
+    @Test void aKeysHomeThatIsFullIsPassedOver() {
+        Host h = eight();
+        java.util.Set<String> places = new java.util.HashSet<>();
+        for (int i = 1; i <= 40 && places.size() < 2; i++) {
+            places.add(sentTo(h, i, "fn:hot"));
+        }
+        assertTrue(places.size() > 1, "only " + places);
+    }
+
+    /** Guards the queue of others, which no report shows: a job that starts late tells of it. */
+    @Test void aLateStartTellsOfWorkThatNoReportShows() {
+        Host h = two();
+        h.take(1, 300);
+        String slow = h.calls.get(1L).tries.get(0).worker;
+        h.pass(400);
+        h.node.progress(h.us(), 1, 0, slow, true, 0);
+        h.settle(1, Verdict.OK);
+        for (int i = 2; i <= 4; i++) {
+            assertNotEquals(slow, h.take(i, 300).tries.get(0).worker, "job " + i);
+            h.settle(i, Verdict.OK);
+        }
+    }
+
+    /** Guards the backlog of wide jobs: one that takes two slots leaves no free one of two. */
+    @Test void aWideJobFillsItsSlots() {
+        Host h = two();
+        Host.Call c = h.calls.computeIfAbsent(1L, k -> new Host.Call());
+        c.spec = h.set.classes().get(0);
+        c.deadline = h.now + 9000;
+        h.node.request(h.us(), new Request(1, 0, 0, Math.round((h.now + 9000) * 1000), 100, 2, 0));
+        String wide = c.tries.get(0).worker;
+        assertNotEquals(wide, h.take(2, 100).tries.get(0).worker);
+        assertNotEquals(wide, h.take(3, 100).tries.get(0).worker, "the other has a slot left");
+    }
+
     private static Report report(double active, double free) {
         return new Report(active, Double.NaN, Double.NaN, Double.NaN, free, Double.NaN);
     }
