Test the network code in stories over loopback; bound large bodies and stop in order

Found while writing the stories: the page of a marked 503 was parsed as a stream of job lines, so a refusal that proves the job never ran would have counted as a reset, and an order would not have gone elsewhere (Branches.answer fed the body before it looked at the status). The parser now passes over the body of any answer but a 200. Also, an answer decided before SIGTERM did not say Connection: close; it is asked for when the answer is given. Bodies above 8 KiB are at most 48 at once, so that they fit the heap.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -38,6 +38,8 @@
     private final ExecutorService probes = threads("probe", 32);
     private ServerSocket socket;
     private Listener listener;
+    private Thread ticker;
+    private Thread watcher;
     private long sweptAt = System.nanoTime();
 
     public Server(Config config) {
@@ -60,8 +62,10 @@
             threads("transaction", config.sizes().transactions() + 8), lifecycle::serving);
         listener = new Listener(socket, service, threads("leg", config.sizes().legs() + 8),
             threads("spare", SPARE_LEGS));
-        thread("ticker", this::tick).start();
-        thread("routes", routeSet).start();
+        ticker = thread("ticker", this::tick);
+        watcher = thread("routes", routeSet);
+        ticker.start();
+        watcher.start();
         lifecycle.enter(Lifecycle.Phase.SERVING);
         thread("listener", listener).start();
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
@@ -95,6 +99,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        ticker.interrupt();
+        watcher.interrupt();
+        routeSet.close();
         lifecycle.enter(Lifecycle.Phase.STOPPED);
     }
 
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -3,19 +3,21 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpWriter;
 
 /** The one final answer to a request: whoever comes first writes it, and nobody after that. */
 final class Answer {
     private final HttpConnection connection;
-    private final boolean close;
+    private final BooleanSupplier last;
+    private boolean close;
     private boolean given;
 
-    /** {@code close}: the connection ends with this answer. */
-    Answer(HttpConnection connection, boolean close) {
+    /** {@code last}: whether the connection ends with this answer, asked when it is given. */
+    Answer(HttpConnection connection, BooleanSupplier last) {
         this.connection = connection;
-        this.close = close;
+        this.last = last;
     }
 
     void served(byte[] result) {
@@ -53,7 +55,8 @@
         return given;
     }
 
-    boolean closes() {
+    /** Whether the connection has ended with it. */
+    synchronized boolean closed() {
         return close;
     }
 
@@ -68,6 +71,7 @@
             return;
         }
         given = true;
+        close = last.getAsBoolean();
         try {
             connection.send((close ? head.field("Connection", "close") : head).body(body));
             if (close) {
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -59,7 +59,7 @@
                 more = one();
             }
         } catch (SocketTimeoutException slow) {
-            new Answer(connection, true).plain(408, "request not whole in time");
+            new Answer(connection, () -> true).plain(408, "request not whole in time");
         } catch (IOException left) {
             // the client has gone, and nothing was owed to it
         } catch (InterruptedException e) {
@@ -78,26 +78,37 @@
         if (!first()) {
             return false;
         }
-        Answer answer = new Answer(connection, true);
+        Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()));
         current = answer;
+        boolean large = false;
         try {
             head(parser);
+            if (parser.bodyLength() > Service.LARGE) {
+                large = service.largeRoom().tryAcquire();
+            }
+            if (parser.bodyLength() > Service.LARGE && !large) {
+                answer.busy(FULL_PAUSE_MS);                      // unread, so the connection ends with it
+                linger();
+                return false;
+            }
+            if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
+                connection.send(HttpWriter.response(100).bytes());
+            }
             connection.receive(parser, service.config().times().legReadMs());
             long lastByteUs = dispatcher.nowUs();
             HttpHead head = parser.head();
-            answer = new Answer(connection, turnAway || ending || !head.keepsAlive()
-                || !service.serving().getAsBoolean());
-            current = answer;
             if (!page(head, answer)) {
                 job(new JobRequest(service.config(), head, body.toByteArray(), lastByteUs), answer);
             }
         } catch (HttpError bad) {
             // After malformed framing nothing on the connection can be trusted; a mere wrong value may go on.
-            answer = new Answer(connection, !parser.done() || turnAway || ending
-                || !parser.head().keepsAlive() || !service.serving().getAsBoolean());
             answer.failed(bad.status(), bad.getMessage());
+        } finally {
+            if (large) {
+                service.largeRoom().release();
+            }
         }
-        if (answer.closes()) {
+        if (answer.closed()) {
             linger();
             return false;
         }
@@ -105,6 +116,11 @@
         return true;
     }
 
+    /** Whether the connection is to end after this request. */
+    private boolean ends(HttpHead head) {
+        return turnAway || ending || !head.keepsAlive() || !service.serving().getAsBoolean();
+    }
+
     /** Waits for a request's first byte. */
     private boolean first() throws IOException {
         if (connection.buffer().hasRemaining()) {
@@ -123,7 +139,7 @@
         return false;
     }
 
-    /** Reads up to the body and tells a client that waits for leave to go on. */
+    /** Reads up to the body. */
     private void head(HttpParser parser) throws IOException {
         long end = System.nanoTime() + service.config().times().legReadMs() * 1_000_000;
         parser.feed(connection.buffer());
@@ -137,9 +153,6 @@
             }
             parser.feed(connection.buffer());
         }
-        if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
-            connection.send(HttpWriter.response(100).bytes());
-        }
     }
 
     private boolean page(HttpHead head, Answer answer) {
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -11,11 +11,15 @@
 
 /** What all caller legs share. */
 public record Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-                      Semaphore room, Set<String> inWork, BooleanSupplier serving) {
+                      Semaphore room, Semaphore largeRoom, Set<String> inWork, BooleanSupplier serving) {
+    /** Bodies above this length are few, and so many at once fit the heap. */
+    static final int LARGE = 8 * 1024;
+    private static final int LARGE_AT_ONCE = 48;
+
     /** {@code serving}: false from the start of the shutdown on. */
     public Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
             BooleanSupplier serving) {
         this(config, dispatcher, branches, transactions, new Semaphore(config.sizes().transactions()),
-            ConcurrentHashMap.newKeySet(), serving);
+            new Semaphore(LARGE_AT_ONCE), ConcurrentHashMap.newKeySet(), serving);
     }
 }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -76,8 +76,8 @@
 
     /** The memory's share is set by the start command: the counts here are what its stacks were sized for. */
     private static Config.Sizes sizes(int descriptors) {
-        int transactions = Math.min(192, descriptors * 2 / 8);
-        return new Config.Sizes(transactions, Math.min(288, descriptors * 3 / 8),
+        int transactions = Math.min(160, descriptors * 2 / 8);
+        return new Config.Sizes(transactions, Math.min(240, descriptors * 3 / 8),
             Math.min(128, descriptors / 8));
     }
 
--- a/src/main/java/maplespread/http/HttpParser.java
+++ b/src/main/java/maplespread/http/HttpParser.java
@@ -41,7 +41,10 @@
         return new HttpParser(true, MAX_BODY, body);
     }
 
-    /** An answer; {@code maxBody} bounds what a stream may bring in all. */
+    /**
+     * An answer; {@code maxBody} bounds what a stream may bring in all. The body of any but a 200 is passed
+     * over: an error's page must not be taken for a malformed stream, which would hide the refusal.
+     */
     public static HttpParser response(long maxBody, Body body) {
         return new HttpParser(false, maxBody, body);
     }
@@ -50,9 +53,9 @@
         return head;
     }
 
-    /** Whether a first byte of the message has come. */
-    public boolean begun() {
-        return state != State.START || line.size() > 0;
+    /** The body's stated length; above the limit where it is not stated. */
+    public long bodyLength() {
+        return state == State.CHUNK_SIZE ? Long.MAX_VALUE : state == State.SIZED ? left : 0;
     }
 
     public boolean headDone() {
@@ -88,7 +91,9 @@
     private void data(ByteBuffer in) throws HttpError {
         int n = state == State.TO_CLOSE ? in.remaining() : (int) Math.min(left, in.remaining());
         grow(n);
-        body.accept(in.array(), in.arrayOffset() + in.position(), n);
+        if (request || head.status == 200) {
+            body.accept(in.array(), in.arrayOffset() + in.position(), n);
+        }
         in.position(in.position() + n);
         left -= n;
         if (state != State.TO_CLOSE && left == 0) {
--- a/src/main/java/maplespread/http/HttpWriter.java
+++ b/src/main/java/maplespread/http/HttpWriter.java
@@ -39,6 +39,7 @@
 
     private static String reason(int status) {
         return switch (status) {
+            case 100 -> "Continue";
             case 200 -> "OK";
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -24,6 +24,7 @@
     private long generation;
     private boolean wanted;
     private boolean following;
+    private HttpConnection current;
 
     public RouteSet(Config config, Dispatcher dispatcher) {
         this.config = config;
@@ -72,6 +73,7 @@
     private void follow() throws IOException {
         InetSocketAddress address = config.discovery();
         try (HttpConnection link = HttpConnection.dial(address, config.times().watchSilenceMs() / 2)) {
+            begin(link);
             String host = address.getHostString() + ':' + address.getPort();
             link.send(HttpWriter.request("GET", "/v1/endpoints?follow=1&since=" + generation, host).bytes());
             HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE, this::line));
@@ -86,6 +88,17 @@
         }
     }
 
+    private synchronized void begin(HttpConnection link) {
+        current = link;
+    }
+
+    /** Ends the watch that is on. */
+    public synchronized void close() {
+        if (current != null) {
+            current.close();
+        }
+    }
+
     private void line(String text) throws HttpError {
         if (text.isEmpty()) {
             return;
--- /dev/null
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -0,0 +1,234 @@
+package maplespread.net;
+
+import static org.junit.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import maplespread.Server;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpHead;
+import maplespread.http.HttpParser;
+import maplespread.http.HttpWriter;
+
+/** The shared helper: one dispatcher on ephemeral ports among peers that do what a story scripts. */
+final class Loopback implements Closeable {
+    static final long LIMIT_MS = 10_000;                         // a story that waits longer has failed
+
+    /** A request as a peer got it, and what the peer does about it. */
+    static final class Call {
+        final HttpHead head;
+        final String body;
+        final HttpConnection link;
+
+        Call(HttpHead head, String body, HttpConnection link) {
+            this.head = head;
+            this.body = body;
+            this.link = link;
+        }
+
+        String id() {
+            return head.get("X-Txn");
+        }
+
+        void raw(String text) throws IOException {
+            link.send(text.getBytes());
+        }
+
+        void open() throws IOException {
+            raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        }
+
+        void line(String json) throws IOException {
+            raw(Integer.toHexString(json.length() + 1) + "\r\n" + json + "\n\r\n");
+        }
+
+        void state(String state, String rest) throws IOException {
+            line("{\"id\":\"" + id() + "\",\"from\":\"w\",\"state\":\"" + state + "\"" + rest + "}");
+        }
+
+        void done(String result) throws IOException {
+            state("started", "");
+            state("done", ",\"result\":\"" + result + "\"");
+            raw("0\r\n\r\n");
+        }
+    }
+
+    /** What a peer does with a call. */
+    interface Script {
+        void answer(Call call) throws IOException;
+    }
+
+    /** A scripted peer: a worker, or discovery. */
+    static final class Peer implements Closeable {
+        final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final List<HttpConnection> links = new CopyOnWriteArrayList<>();
+        final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+        volatile Script script;
+
+        Peer(Script script) throws IOException {
+            this.script = script;
+            daemon(() -> {
+                while (true) {
+                    HttpConnection link = new HttpConnection(socket.accept());
+                    links.add(link);
+                    daemon(() -> serve(link));
+                }
+            });
+        }
+
+        private void serve(HttpConnection link) throws IOException {
+            while (link.fill(LIMIT_MS)) {
+                Call call = call(link, HttpParser::request);
+                if (call.head.target().equals("/status/load")) {
+                    link.send(HttpWriter.response(200).body("{\"util\":0.1,\"x0\":2}".getBytes()));
+                    continue;
+                }
+                calls.add(call);
+                script.answer(call);
+            }
+        }
+
+        Call next() throws InterruptedException {
+            Call call = calls.poll(LIMIT_MS, TimeUnit.MILLISECONDS);
+            assertTrue("no call came", call != null);
+            return call;
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        @Override public void close() throws IOException {
+            socket.close();
+            links.forEach(HttpConnection::close);
+        }
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    static void daemon(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception over) {
+                // the peer's part ends with its sockets
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private static Call call(HttpConnection link, java.util.function.Function<HttpParser.Body, HttpParser> kind)
+            throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        HttpParser parser = kind.apply(body::write);
+        link.receive(parser, LIMIT_MS);
+        return new Call(parser.head(), body.toString(), link);
+    }
+
+    /** A client connection. */
+    final class Client implements Closeable {
+        final HttpConnection link = HttpConnection.dial(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()), LIMIT_MS);
+
+        Client() throws IOException { }
+
+        Client send(String text) throws IOException {
+            link.send(text.getBytes());
+            return this;
+        }
+
+        Call answer() throws IOException {
+            return call(link, body -> HttpParser.response(1 << 20, body));
+        }
+
+        int status(String text) throws IOException {
+            return send(text).answer().head.status();
+        }
+
+        @Override public void close() {
+            link.close();
+        }
+    }
+
+    final Peer discovery;
+    final Server server;
+
+    /** With these workers known from before, and discovery saying nothing beyond that at first. */
+    Loopback(Peer... workers) throws Exception {
+        this(c -> c, workers);
+    }
+
+    Loopback(java.util.function.UnaryOperator<Config> change, Peer... workers) throws Exception {
+        discovery = new Peer(call -> {
+            call.open();
+            call.line("");
+        });
+        server = new Server(change.apply(ConfigReader.read(config(discovery.address(), workers), Map.of())));
+        server.start();
+    }
+
+    static String config(String discovery, Peer... workers) {
+        return "{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
+            + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
+            + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a'],'models':['m'],'discovery':'ask',"
+            + "'classes':[" + clazz("page", "read_like") + "," + clazz("order", "non_idempotent") + "],"
+            + "'customers':[{'name':'acme','allowancePerS':100}],'domain':{'tellsStart':true,'progressMs':2000},"
+            + "'permissions':{'probing':true,'tryLimit':5,'dialTimeoutMs':250,'maxRetryAfterMs':2000,"
+            + "'connIdleMs':30000,'cancel':true},'rules':{'drainGraceMs':250,'askWithinMs':10000,"
+            + "'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':4,'fallMs':1000,'answerSlackMs':8}}}"
+                .replace('\'', '"');
+    }
+
+    private static String clazz(String name, String effect) {
+        return "{'name':'" + name + "','aimMs':300,'deadlineMs':5000,'effect':'" + effect
+            + "','dedupScope':'all','worth':2}";
+    }
+
+    static String list(int generation, boolean whole, String state, Peer... workers) {
+        StringBuilder all = new StringBuilder();
+        for (Peer w : workers) {
+            all.append(all.length() == 0 ? "" : ",").append("{'instanceId':'s-").append(w.socket.getLocalPort())
+                .append("','hostPort':'").append(w.address()).append("','zone':'a','machineType':'m','cell':1,")
+                .append("'lifecycle':'").append(state).append("','weight':1.0,'startedAtMs':0}");
+        }
+        return ("{'generation':" + generation + ",'reset':" + whole + ",'instances':[" + all + "]}")
+            .replace('\'', '"');
+    }
+
+    static String job(String lane, String id, int remainingMs) {
+        return "POST /" + lane + "/x?y=1 HTTP/1.1\r\nHost: t\r\nX-Txn: " + id + "\r\nX-Lane: " + lane
+            + "\r\nX-Org: acme\r\nX-Remaining-Ms: " + remainingMs
+            + "\r\nX-Estimate: 50000\r\nContent-Length: 4\r\n\r\nbody";
+    }
+
+    /** Waits for a condition, not for a time. */
+    static void until(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + LIMIT_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            assertTrue("never came: " + what, System.nanoTime() < end);
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override public void close() throws IOException {
+        server.stop();
+        discovery.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -0,0 +1,255 @@
+package maplespread.net;
+
+import static maplespread.net.Loopback.job;
+import static maplespread.net.Loopback.list;
+import static maplespread.net.Loopback.until;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import maplespread.Lifecycle.Phase;
+import maplespread.config.Config;
+import maplespread.net.Loopback.Call;
+import maplespread.net.Loopback.Client;
+import maplespread.net.Loopback.Peer;
+import org.junit.Test;
+
+/** Whole dispatchers over loopback: one story for each failure met or guarded against. */
+public class StoriesTest {
+    private static final Loopback.Script DONE = call -> {
+        call.open();
+        call.done("ok " + call.id());
+    };
+
+    @Test public void aJobIsServedUnchangedOverConnectionsThatAreKept() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker);
+             Client client = here.new Client()) {
+            for (int i = 1; i <= 3; i++) {
+                Call answer = client.send(job("page", "t" + i, 4000)).answer();
+                assertEquals(200, answer.head.status());
+                assertEquals("ok t" + i, answer.body);
+                Call seen = worker.next();
+                assertEquals("POST /page/x?y=1 body", seen.head.method() + ' ' + seen.head.target() + ' '
+                    + seen.body);
+                int left = Integer.parseInt(seen.head.get("X-Remaining-Ms"));
+                assertTrue("what is left is told: " + left, left > 0 && left < 4000);
+            }
+            assertTrue("probes and jobs share a few connections", worker.links.size() <= 2);
+        }
+    }
+
+    /** Guards the table of outcomes: only what is proved never to have run may be sent again. */
+    @Test public void whatNeverRanIsSentElsewhereEvenAnOrder() throws Exception {
+        String[] refusals = {"HTTP/1.1 503 S\r\nX-Turned-Away: 1\r\nContent-Length: 5\r\n\r\nfull\n", null};
+        for (String refusal : refusals) {
+            try (Peer one = new Peer(DONE); Peer two = new Peer(DONE); Loopback here = new Loopback(one, two);
+                 Client client = here.new Client()) {
+                Loopback.Script first = call -> {
+                    one.script = DONE;
+                    two.script = DONE;
+                    if (refusal != null) {
+                        call.raw(refusal);
+                    } else {
+                        call.open();
+                        call.state("returned", "");
+                        call.raw("0\r\n\r\n");
+                    }
+                };
+                one.script = first;
+                two.script = first;
+                assertEquals(200, client.status(job("order", "t", 4000)));
+                assertEquals(2, one.calls.size() + two.calls.size());
+            }
+        }
+    }
+
+    /** Guards orders against a second charge: after a break that may have run, no second send. */
+    @Test public void anOrderThatMayHaveRunIsNeverSentAgain() throws Exception {
+        Loopback.Script[] breaks = {
+            call -> call.link.close(),
+            call -> call.raw("HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"),
+            call -> {
+                call.open();
+                call.line("{not json");
+            },
+            call -> {
+                call.open();
+                call.state("lost", "");
+            },
+            call -> {
+                call.open();
+                call.state("started", "");
+                call.raw("0\r\n\r\n");
+            }};
+        for (Loopback.Script broken : breaks) {
+            try (Peer one = new Peer(broken); Peer two = new Peer(broken);
+                 Loopback here = new Loopback(one, two); Client client = here.new Client()) {
+                assertEquals(502, client.status(job("order", "t", 4000)));
+                assertEquals(1, one.calls.size() + two.calls.size());
+                one.script = DONE;
+                two.script = DONE;
+                assertEquals("the process goes on", 200, client.status(job("page", "u", 4000)));
+            }
+        }
+    }
+
+    /** Guards against writing to a pooled connection that the worker has closed while it stood idle. */
+    @Test public void aConnectionThatDiedIdleIsNotUsedForAnOrder() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker);
+             Client client = here.new Client()) {
+            assertEquals(200, client.status(job("page", "a", 4000)));
+            worker.links.forEach(l -> l.close());
+            long closed = System.nanoTime();
+            until("longer idle than a connection is trusted", () -> System.nanoTime() - closed > 250_000_000L);
+            assertEquals(200, client.status(job("order", "b", 4000)));
+            assertEquals(2, worker.calls.size());
+        }
+    }
+
+    /** Guards the deadline: a worker that says nothing must not keep the client past it. */
+    @Test public void aSilentWorkerIsAnsweredForAtTheDeadline() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker);
+             Client client = here.new Client()) {
+            long start = System.nanoTime();
+            assertEquals(502, client.status(job("order", "t", 300)));
+            long tookMs = (System.nanoTime() - start) / 1_000_000;
+            assertTrue("took " + tookMs, tookMs >= 280);
+            assertEquals(1, worker.calls.size());
+        }
+    }
+
+    /** Guards against answers to nobody: the leg is read while a branch runs, and its place comes free. */
+    @Test public void aClientThatLeavesFreesItsPlace() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(c -> sized(c, 1, 40), worker);
+             Client next = here.new Client()) {
+            Client leaver = here.new Client().send(job("page", "t", 400));
+            Call held = worker.next();
+            assertEquals("one place, and it is taken", 503, next.status(job("page", "u", 4000)));
+            leaver.close();
+            held.open();
+            held.done("nobody waits");
+            worker.script = DONE;
+            until("a place", () -> status(next, job("page", "v", 4000)) == 200);
+        }
+    }
+
+    /** Guards the count of descriptors: beyond the legs a connection is still taken, and refused in words. */
+    @Test public void connectionsBeyondTheSizeAreAnsweredBusy() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(c -> sized(c, 9, 1), worker);
+             Client first = here.new Client()) {
+            first.send(job("page", "t", 4000));
+            worker.next();
+            try (Client second = here.new Client()) {
+                Call busy = second.send(job("page", "u", 4000)).answer();
+                assertEquals(503, busy.head.status());
+                assertNotNull(busy.head.get("Retry-After"));
+                assertFalse(busy.head.keepsAlive());
+            }
+        }
+    }
+
+    @Test public void aWatchsNewsIsHeededAtOnceAndABrokenWatchIsTakenUpAgain() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker);
+             Client client = here.new Client()) {
+            assertEquals(200, client.status("GET /ready HTTP/1.1\r\nHost: t\r\n\r\n"));
+            Call watch = here.discovery.next();
+            assertEquals("/v1/endpoints?follow=1&since=1", watch.head.target());
+            watch.line(list(2, false, "DRAINING", worker));
+            until("not ready without a worker", () -> ready(client) == 503);
+            int refused = client.status(job("page", "t", 1500));
+            assertTrue("answered " + refused, refused == 503 || refused == 502);
+            assertEquals("nothing goes to a draining worker", 0, worker.calls.size());
+            watch.raw("garbage that is no chunk\r\n");
+            assertEquals("/v1/endpoints?follow=1&since=2", here.discovery.next().head.target());
+            here.discovery.links.get(here.discovery.links.size() - 1).close();
+            here.discovery.script = call -> {
+                call.open();
+                call.line(list(3, true, "SERVING", worker));
+            };
+            here.discovery.next();
+            until("ready again", () -> ready(client) == 200);
+            assertEquals(200, client.status(job("page", "v", 4000)));
+        }
+    }
+
+    /** Guards against a watch that stands open and says nothing while workers drain. */
+    @Test public void aSilentWatchIsGivenUp() throws Exception {
+        try (Peer worker = new Peer(DONE);
+             Loopback here = new Loopback(c -> new Config(c.name(), c.listen(), c.discovery(), c.seed(),
+                 c.settings(), c.names(), c.sizes(), new Config.Times(250, 1000, 9000, 9000, 9000, 100, 5000,
+                     50), c.known()), worker)) {
+            here.discovery.next();
+            here.discovery.next();                               // asked for anew, though nothing broke
+        }
+    }
+
+    @Test public void badRequestsAreAnsweredAndNoneReachesAWorker() throws Exception {
+        String good = job("page", "t", 4000);
+        Object[][] table = {
+            {404, good.replace("/page/", "/nothing/")}, {405, good.replace("POST", "PUT")},
+            {404, good.replace("X-Lane: page", "X-Lane: nothing")}, {400, good.replace("X-Lane: page",
+                "X-Lane: order")},
+            {400, good.replace("X-Txn: t\r\n", "")}, {400, good.replace("acme", "nobody")},
+            {400, good.replace("Remaining-Ms: 4000", "Remaining-Ms: -1")},
+            {400, good.replace("Remaining-Ms: 4000", "Remaining-Ms: 1e3")},
+            {400, good.replace("50000", "NaN")}, {400, good.replace("Host: t", "Host : t")},
+            {400, good.replace("Length: 4", "Length: 4\r\nContent-Length: 5")},
+            {400, good.replace("Length: 4", "Length: 4\r\nTransfer-Encoding: chunked")},
+            {413, good.replace("Length: 4", "Length: 65537")}, {400, good.replace("Length: 4", "Length: +4")},
+            {431, good.replace("Host: t", "Host: t\r\nX-Long: " + "x".repeat(17_000))},
+            {400, "nonsense\r\n\r\n"}, {400, "GET /ready HTTP/1.1\nHost: t\n\n"},
+            {405, "POST /ready HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n"}};
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker)) {
+            for (Object[] row : table) {
+                try (Client client = here.new Client()) {
+                    assertEquals((String) row[1], row[0], client.status((String) row[1]));
+                }
+            }
+            assertEquals(0, worker.calls.size());
+            try (Client client = here.new Client()) {
+                String bare = good.replace("X-Estimate: 50000\r\n", "");
+                assertEquals("an estimate may be missing", 200, client.status(bare));
+            }
+        }
+    }
+
+    /** Guards taken work at a planned restart: it is finished, and clients are told to go elsewhere. */
+    @Test public void aStopFinishesWhatWasTaken() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker);
+             Client waiting = here.new Client(); Client late = here.new Client()) {
+            waiting.send(job("page", "t", 4000));
+            Call held = worker.next();
+            Loopback.daemon(here.server::stop);
+            here.server.lifecycle().await(Phase.DRAINING);
+            assertEquals("still accepting, no longer ready", 503, ready(late));
+            here.server.lifecycle().await(Phase.FINISHING);
+            assertEquals(Phase.FINISHING, here.server.lifecycle().phase());
+            held.open();
+            held.done("ok");
+            Call answer = waiting.answer();
+            assertEquals(200, answer.head.status());
+            assertFalse("told to close", answer.head.keepsAlive());
+            waiting.close();
+            here.server.lifecycle().await(Phase.STOPPED);
+        }
+    }
+
+    private static int ready(Client client) {
+        return status(client, "GET /ready HTTP/1.1\r\nHost: t\r\n\r\n");
+    }
+
+    private static int status(Client client, String text) {
+        try {
+            return client.status(text);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static Config sized(Config c, int transactions, int legs) {
+        return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(),
+            new Config.Sizes(transactions, legs, 8), c.times(), c.known());
+    }
+}
