--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -62,11 +62,11 @@
             threads("transaction", config.sizes().transactions() + 8), lifecycle::serving);
         listener = new Listener(socket, service, threads("leg", config.sizes().legs() + 8),
             threads("spare", SPARE_LEGS));
+        lifecycle.enter(Lifecycle.Phase.SERVING);
         ticker = thread("ticker", this::tick);
         watcher = thread("routes", routeSet);
         ticker.start();
         watcher.start();
-        lifecycle.enter(Lifecycle.Phase.SERVING);
         thread("listener", listener).start();
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
@@ -120,6 +120,8 @@
                 if (System.nanoTime() - sweptAt > SWEEP_MS * 1_000_000) {
                     sweptAt = System.nanoTime();
                     links.sweep(new HashSet<>(dispatcher.addresses()));
+                    branches.sweep();
+                    listener.sweep();
                 }
             } catch (InterruptedException e) {
                 return;
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpWriter;
@@ -11,8 +13,9 @@
 final class Answer {
     private final HttpConnection connection;
     private final BooleanSupplier last;
-    private boolean close;
-    private boolean given;
+    private final AtomicBoolean claimed = new AtomicBoolean();
+    private final CountDownLatch over = new CountDownLatch(1);
+    private volatile boolean closed;
 
     /** {@code last}: whether the connection ends with this answer, asked when it is given. */
     Answer(HttpConnection connection, BooleanSupplier last) {
@@ -46,32 +49,32 @@
     }
 
     /** Ends the matter without an answer: the client has left. */
-    synchronized void drop() {
-        given = true;
-        notifyAll();
+    void drop() {
+        if (claimed.compareAndSet(false, true)) {
+            over.countDown();
+        }
     }
 
-    synchronized boolean given() {
-        return given;
+    /** Whether it has been written, or dropped. */
+    boolean given() {
+        return over.getCount() == 0;
     }
 
     /** Whether the connection has ended with it. */
-    synchronized boolean closed() {
-        return close;
+    boolean closed() {
+        return closed;
     }
 
-    synchronized void awaitGiven() throws InterruptedException {
-        while (!given) {
-            wait();
-        }
+    void awaitGiven() throws InterruptedException {
+        over.await();
     }
 
-    private synchronized void give(HttpWriter head, byte[] body) {
-        if (given) {
+    private void give(HttpWriter head, byte[] body) {
+        if (!claimed.compareAndSet(false, true)) {
             return;
         }
-        given = true;
-        close = last.getAsBoolean();
+        boolean close = last.getAsBoolean();
+        closed = close;
         try {
             connection.send((close ? head.field("Connection", "close") : head).body(body));
             if (close) {
@@ -79,8 +82,9 @@
             }
         } catch (IOException e) {
             connection.close();                                  // the client has gone
+        } finally {
+            over.countDown();
         }
-        notifyAll();
     }
 
     private static byte[] text(String why) {
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -28,7 +28,7 @@
     private final HttpConnection connection;
     private final Service service;
     private final Dispatcher dispatcher;
-    private final boolean turnAway;
+    private volatile boolean turnAway;
     private volatile Answer current;                             // null where no request is held
     private volatile boolean ending;
 
@@ -46,10 +46,24 @@
         return now == null || now.given();
     }
 
-    /** Between requests a connection may be closed; a request that crosses it is sent again by its client. */
-    void endIdle() {
+    void cutIfStuck() {
+        connection.cutIfStuck(service.config().times().legReadMs());
+    }
+
+    /**
+     * Between requests a connection may be closed; a request that crosses it is sent again by its client.
+     * False where it was ended before.
+     */
+    boolean end() {
+        boolean first = !ending;
         ending = true;
         connection.endReading();
+        return first;
+    }
+
+    /** Has its one request refused. */
+    void turnAway() {
+        turnAway = true;
     }
 
     @Override public void run() {
@@ -94,7 +108,7 @@
             if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
                 connection.send(HttpWriter.response(100).bytes());
             }
-            connection.receive(parser, service.config().times().legReadMs());
+            connection.receive(parser, readMs());
             long lastByteUs = dispatcher.nowUs();
             HttpHead head = parser.head();
             if (!page(head, answer)) {
@@ -116,6 +130,10 @@
         return true;
     }
 
+    private long readMs() {
+        return turnAway ? POLL_MS : service.config().times().legReadMs();
+    }
+
     /** Whether the connection is to end after this request. */
     private boolean ends(HttpHead head) {
         return turnAway || ending || !head.keepsAlive() || !service.serving().getAsBoolean();
@@ -141,7 +159,7 @@
 
     /** Reads up to the body. */
     private void head(HttpParser parser) throws IOException {
-        long end = System.nanoTime() + service.config().times().legReadMs() * 1_000_000;
+        long end = System.nanoTime() + readMs() * 1_000_000;
         parser.feed(connection.buffer());
         while (!parser.headDone()) {
             long left = (end - System.nanoTime()) / 1_000_000;
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -4,6 +4,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -60,24 +61,31 @@
     private void serve(Socket socket) throws IOException {
         boolean room = legs.size() < service.config().sizes().legs();
         if (!room) {
-            legs.stream().filter(CallerLeg::idle).findFirst().ifPresent(CallerLeg::endIdle);
+            Optional<CallerLeg> idle = legs.stream().filter(l -> l.idle() && l.end()).findFirst();
+            room = idle.isPresent();
         }
         CallerLeg leg = new CallerLeg(new HttpConnection(socket), service, !room);
         legs.add(leg);
+        Runnable work = () -> {
+            try {
+                leg.run();
+            } finally {
+                legs.remove(leg);
+            }
+        };
         try {
-            (room ? legThreads : spareThreads).execute(() -> {
-                try {
-                    leg.run();
-                } finally {
-                    legs.remove(leg);
-                }
-            });
-        } catch (RejectedExecutionException e) {
-            legs.remove(leg);
-            socket.close();
+            (room ? legThreads : spareThreads).execute(work);
+        } catch (RejectedExecutionException e) {                 // no thread is left: this one must do
+            leg.turnAway();
+            work.run();
         }
     }
 
+    /** Ends the legs whose clients do not read their answers. */
+    public void sweep() {
+        legs.forEach(CallerLeg::cutIfStuck);
+    }
+
     /** Stops accepting once the queue is empty. */
     public void close() {
         closing = true;
@@ -92,7 +100,7 @@
     public int endIdle() {
         for (CallerLeg leg : legs) {
             if (leg.idle()) {
-                leg.endIdle();
+                leg.end();
             }
         }
         return legs.size();
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -193,22 +193,29 @@
                 if (!e.isJsonObject() || !e.getAsJsonObject().has("name")) {
                     throw new ConfigError(at + ".name", "is missing");
                 }
-                names.add(e.getAsJsonObject().get("name").getAsString());
+                names.add(text(e.getAsJsonObject().get("name"), at + ".name"));
             }
         }
         return List.copyOf(names);
     }
 
-    private static List<String> strings(JsonObject set, String key) {
+    private static List<String> strings(JsonObject set, String key) throws ConfigError {
         List<String> names = new ArrayList<>();
-        if (set.has(key) && set.get(key).isJsonArray()) {
-            set.getAsJsonArray(key).forEach(e -> names.add(e.getAsString()));
-        } else if (set.has(key)) {
-            names.addAll(List.of(set.get(key).getAsString().split(",")));
+        if (set.has(key)) {
+            for (JsonElement e : array(set, key)) {
+                names.add(text(e, "settings." + key));
+            }
         }
         return List.copyOf(names);
     }
 
+    private static String text(JsonElement e, String key) throws ConfigError {
+        if (!e.isJsonPrimitive()) {
+            throw new ConfigError(key, "must be a plain value");
+        }
+        return e.getAsString();
+    }
+
     // ------------------------------------------------------------ the rest
 
     private static RouteNews known(JsonObject root, Config.Names names) throws ConfigError {
@@ -224,7 +231,7 @@
     }
 
     private static long seed(JsonObject root) throws ConfigError {
-        String text = root.has("seed") ? root.get("seed").getAsString() : "0";
+        String text = root.has("seed") ? text(root.get("seed"), "seed") : "0";
         try {
             return Long.parseUnsignedLong(text, 16);
         } catch (NumberFormatException e) {
--- a/src/main/java/maplespread/http/HttpConnection.java
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -12,6 +12,8 @@
 public final class HttpConnection implements Closeable {
     private static final int BUFFER = 8 * 1024;
     private final Socket socket;
+    private volatile long writingSince;
+    private volatile boolean writing;
     private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER).flip();
 
     public HttpConnection(Socket socket) throws IOException {
@@ -69,7 +71,20 @@
 
     /** Writes the bytes in one go, so that head and body share their fate. */
     public void send(byte[] bytes) throws IOException {
-        socket.getOutputStream().write(bytes);
+        writingSince = System.nanoTime();
+        writing = true;
+        try {
+            socket.getOutputStream().write(bytes);
+        } finally {
+            writing = false;
+        }
+    }
+
+    /** Closes the connection if a write has lasted longer: guards against a peer that does not read. */
+    public void cutIfStuck(long limitMs) {
+        if (writing && System.nanoTime() - writingSince > limitMs * 1_000_000) {
+            close();
+        }
     }
 
     /**
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -22,6 +22,7 @@
     private final Dispatcher dispatcher;
     private final RouteReader reader;
     private long generation;
+    private boolean heard;                                       // of the watch that is on
     private boolean wanted;
     private boolean following;
     private HttpConnection current;
@@ -74,6 +75,7 @@
         InetSocketAddress address = config.discovery();
         try (HttpConnection link = HttpConnection.dial(address, config.times().watchSilenceMs() / 2)) {
             begin(link);
+            heard = false;
             String host = address.getHostString() + ':' + address.getPort();
             link.send(HttpWriter.request("GET", "/v1/endpoints?follow=1&since=" + generation, host).bytes());
             HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE, this::line));
@@ -109,6 +111,10 @@
         } catch (RouteReader.Malformed e) {
             throw new HttpError(502, "malformed line: " + e.getMessage());
         }
+        if (!heard) {
+            Logger.info("the watch is on, generation {}", news.generation());
+        }
+        heard = true;
         generation = news.generation();
         dispatcher.report(news);
     }
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -40,6 +40,12 @@
             }
         }
 
+        synchronized void cutIfStuck() {
+            if (connection != null) {
+                connection.cutIfStuck(0);
+            }
+        }
+
         synchronized boolean cancelled() {
             return cancelled;
         }
@@ -97,6 +103,15 @@
         }
     }
 
+    /** Cuts off branches whose workers do not take the request in: no read limit ends a write. */
+    public void sweep() {
+        running.forEach((branch, r) -> {
+            if (leftMs(branch) < 0) {
+                r.cutIfStuck();
+            }
+        });
+    }
+
     /** Sends the message and waits for the branch's end, at most until its transaction's deadline. */
     public Ended run(Branch branch, Message message) {
         Running me = new Running();
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import maplespread.Server;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -134,7 +136,7 @@
         t.start();
     }
 
-    private static Call call(HttpConnection link, java.util.function.Function<HttpParser.Body, HttpParser> kind)
+    private static Call call(HttpConnection link, Function<HttpParser.Body, HttpParser> kind)
             throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpParser parser = kind.apply(body::write);
@@ -175,7 +177,7 @@
         this(c -> c, workers);
     }
 
-    Loopback(java.util.function.UnaryOperator<Config> change, Peer... workers) throws Exception {
+    Loopback(UnaryOperator<Config> change, Peer... workers) throws Exception {
         discovery = new Peer(call -> {
             call.open();
             call.line("");
@@ -189,7 +191,8 @@
             + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
             + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a'],'models':['m'],'discovery':'ask',"
             + "'classes':[" + clazz("page", "read_like") + "," + clazz("order", "non_idempotent") + "],"
-            + "'customers':[{'name':'acme','allowancePerS':100}],'domain':{'tellsStart':true,'progressMs':2000},"
+            + "'customers':[{'name':'acme','allowancePerS':100}],"
+            + "'domain':{'tellsStart':true,'progressMs':2000},"
             + "'permissions':{'probing':true,'tryLimit':5,'dialTimeoutMs':250,'maxRetryAfterMs':2000,"
             + "'connIdleMs':30000,'cancel':true},'rules':{'drainGraceMs':250,'askWithinMs':10000,"
             + "'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':4,'fallMs':1000,'answerSlackMs':8}}}"
@@ -204,9 +207,10 @@
     static String list(int generation, boolean whole, String state, Peer... workers) {
         StringBuilder all = new StringBuilder();
         for (Peer w : workers) {
-            all.append(all.length() == 0 ? "" : ",").append("{'instanceId':'s-").append(w.socket.getLocalPort())
-                .append("','hostPort':'").append(w.address()).append("','zone':'a','machineType':'m','cell':1,")
-                .append("'lifecycle':'").append(state).append("','weight':1.0,'startedAtMs':0}");
+            all.append(all.length() == 0 ? "" : ",").append("{'instanceId':'s-")
+                .append(w.socket.getLocalPort()).append("','hostPort':'").append(w.address())
+                .append("','zone':'a','machineType':'m','cell':1,'lifecycle':'").append(state)
+                .append("','weight':1.0,'startedAtMs':0}");
         }
         return ("{'generation':" + generation + ",'reset':" + whole + ",'instances':[" + all + "]}")
             .replace('\'', '"');
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -102,7 +102,7 @@
             assertEquals(200, client.status(job("page", "a", 4000)));
             worker.links.forEach(l -> l.close());
             long closed = System.nanoTime();
-            until("longer idle than a connection is trusted", () -> System.nanoTime() - closed > 250_000_000L);
+            until("idle longer than is trusted", () -> System.nanoTime() - closed > 250_000_000L);
             assertEquals(200, client.status(job("order", "b", 4000)));
             assertEquals(2, worker.calls.size());
         }
