Learn the kind's unseen work from waits; no error ends a thread others wait for

Cause: kind.unseen, which stands for workers without fresh news, was fed in Logic.report() only, from reports that cannot show a queue; with few jobs for each worker and node, most backlogs were drawn about a mean that was too low. By reading: an Error in the accept loop or the watch would have ended its thread, and a probe that found no thread would have stayed out for ever in the module's books. The first two now go on, the last is reported. The facade's guards have tests without sockets.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.util.HashSet;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import maplespread.config.Config;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.Outcome;
 import maplespread.routes.RouteSet;
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
@@ -110,7 +112,7 @@
             try {
                 for (Chore chore : dispatcher.tick(SWEEP_MS)) {
                     if (chore instanceof Chore.Probe probe) {
-                        probes.execute(() -> prober.probe(probe));
+                        probe(probe);
                     } else if (chore instanceof Chore.Cancel cancel) {
                         branches.cancel(cancel.branch());
                     } else {
@@ -125,12 +127,20 @@
                 }
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {                       // the timers must go on
+            } catch (RuntimeException | Error e) {               // the timers must go on
                 Logger.error(e, "a chore failed");
             }
         }
     }
 
+    private void probe(Chore.Probe probe) {
+        try {
+            probes.execute(() -> prober.probe(probe));
+        } catch (RejectedExecutionException | OutOfMemoryError e) {     // a probe without an end stays out
+            dispatcher.report(probe, Outcome.CANCELLED, 0, null);
+        }
+    }
+
     private static Thread thread(String name, Runnable work) {
         Thread t = new Thread(null, work, name, STACK);
         t.setDaemon(true);
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -207,7 +207,7 @@
                     service.room().release();
                 }
             });
-        } catch (RejectedExecutionException e) {
+        } catch (RejectedExecutionException | OutOfMemoryError e) {    // no thread is to be had
             service.inWork().remove(id);
             service.room().release();
             answer.busy(FULL_PAUSE_MS);
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -45,7 +45,7 @@
                 if (last) {
                     break;
                 }
-            } catch (IOException | RuntimeException e) {         // out of descriptors, say: it must go on
+            } catch (IOException | RuntimeException | Error e) { // out of descriptors, say: it must go on
                 Logger.warn("accept failed: {}", e.getMessage());
                 pause();
             }
@@ -75,7 +75,7 @@
         };
         try {
             (room ? legThreads : spareThreads).execute(work);
-        } catch (RejectedExecutionException e) {                 // no thread is left: this one must do
+        } catch (RejectedExecutionException | OutOfMemoryError e) {    // no thread is left: this one must do
             leg.turnAway();
             work.run();
         }
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -362,7 +362,7 @@
                 foreign = r.active() >= 0 || r.freeSlots() > 0.5
                     ? keep * foreign + (1 - keep) * Math.max(0, others) : Math.max(foreign, others);
                 foreignAt = now;
-                kind.unseen += 0.05 * (Math.max(0, others) * meanAll() / cap - kind.unseen);
+                kind.unseen += 0.05 * (foreign * meanAll() / cap - kind.unseen);
             }
         }
 
@@ -381,6 +381,7 @@
                 double off = now - a.sentAt - a.wait;            // what of the queue was not seen then
                 foreign = Math.max(0, foreign + 0.5 * (off - clamp(off, 0, aim / 8)) * cap / meanAll());
                 foreignAt = now;
+                kind.unseen += 0.05 * (foreign * meanAll() / cap - kind.unseen);
             } else if (share > a.share) {
                 learn(a.x * (share - a.share), a.spent());
             }
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -56,6 +56,8 @@
                     Logger.info("the watch ended");
                 } catch (IOException e) {
                     Logger.info("the watch broke: {}", e.getMessage());
+                } catch (RuntimeException | Error e) {           // without this thread drains would go unseen
+                    Logger.error(e, "the watch failed");
                 }
                 synchronized (this) {
                     following = false;                           // before the report: it may ask anew at once
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -46,7 +46,7 @@
             }
         } catch (SocketTimeoutException e) {
             outcome = link == null ? Outcome.NOT_CONNECTED : Outcome.TIMED_OUT;
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {     // unreported, the module would wait for ever
             outcome = link == null ? Outcome.NOT_CONNECTED : Outcome.RESET;
         }
         if (link != null) {
--- /dev/null
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -0,0 +1,101 @@
+package maplespread.facade;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
+import org.junit.Test;
+
+/** The facade alone, with no socket: what it guards between the network code and the module. */
+public class DispatcherTest {
+    private static Route route(String worker, Route.State state) {
+        return new Route(worker, "127.0.0.1:" + worker.length(), state, 1, 0, 0, 0, 0);
+    }
+
+    private static Dispatcher dispatcher(String... workers) throws Exception {
+        Config c = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
+        Dispatcher d = new Dispatcher(c.settings(), 7);
+        d.report(new RouteNews(RouteNews.Kind.HELD, 1,
+            Arrays.stream(workers).map(w -> route(w, Route.State.SERVING)).toList()));
+        return d;
+    }
+
+    private static Transaction job(Dispatcher d, int cls, double waitMs) {
+        return new Transaction(cls, 0, d.nowUs() + Math.round(waitMs * 1000), 100, 1, 0, null);
+    }
+
+    /** Guards drains told between the pick and the send. */
+    @Test public void aDrainToldAfterThePickForbidsTheSend() throws Exception {
+        Dispatcher d = dispatcher("a", "bb");
+        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        assertTrue(d.mayUse(b));
+        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(route(b.worker(), Route.State.DRAINING))));
+        assertFalse(d.mayUse(b));
+        d.report(b, Outcome.NEVER_SENT, null);
+        Branch next = (Branch) d.pick(b.transaction());
+        assertEquals("it goes to the other", 1, next.number());
+        assertFalse(next.worker().equals(b.worker()));
+    }
+
+    /** Guards the whole list: who is absent from it is gone. */
+    @Test public void aWholeListDropsTheAbsent() throws Exception {
+        Dispatcher d = dispatcher("a");
+        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        d.report(new RouteNews(RouteNews.Kind.WHOLE, 2, List.of(route("bb", Route.State.SERVING))));
+        assertFalse(d.mayUse(b));
+        assertEquals(List.of("127.0.0.1:2"), d.addresses());
+    }
+
+    /** Guards orders: after an outcome that may have run there is an end, and no second branch. */
+    @Test public void anOrderThatMayHaveRunEnds() throws Exception {
+        Dispatcher d = dispatcher("a", "bb");
+        for (Outcome o : new Outcome[] {Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT}) {
+            Transaction t = job(d, 1, 4000);
+            d.report((Branch) d.pick(t), o, null);
+            assertTrue(o.toString(), d.pick(t) instanceof Word.Failed);
+        }
+    }
+
+    /** Guards a client that leaves when its branch is picked and not yet sent: the branch gets its end. */
+    @Test public void leavingEndsABranchThatNobodyWillSend() throws Exception {
+        Dispatcher d = dispatcher("a", "bb");
+        Transaction t = job(d, 0, 4000);
+        d.report((Branch) d.pick(t), Outcome.TURNED_AWAY, null);  // the next branch waits to be read
+        d.reportLeft(t);
+        assertEquals(0, t.out);
+        assertTrue(d.pick(t) instanceof Word.Left);
+    }
+
+    /** Guards the lock's owner: an event that the module rejects ends its transaction and nothing else. */
+    @Test public void whatTheModuleRejectsIsFailed() throws Exception {
+        Dispatcher d = dispatcher("a");
+        assertTrue(d.pick(job(d, 99, 4000)) instanceof Word.Failed);
+        assertTrue(d.pick(job(d, 0, 4000)) instanceof Branch);
+    }
+
+    /** Guards the client: without a worker the module refuses in time, and says when to come back. */
+    @Test public void withoutAWorkerTheAnswerComesInTimeWithAPause() throws Exception {
+        Dispatcher d = dispatcher();
+        Thread ticker = new Thread(() -> {
+            try {
+                while (true) {
+                    d.tick(1000);
+                }
+            } catch (InterruptedException over) {
+                // the test's end
+            }
+        });
+        ticker.start();
+        Word.BusyAnswer busy = (Word.BusyAnswer) d.pick(job(d, 1, 4000));
+        assertTrue("pause " + busy.pauseMs(), busy.pauseMs() >= 100 && busy.pauseMs() <= 2000);
+        ticker.interrupt();
+        ticker.join();
+    }
+}
