Refuse control characters in a target; stop in order before anything is open

By reading: a tab in a request's target would have gone on to a worker as it came, and SIGTERM before the listener was open ended the shutdown hook with an exception, so that the status was not 0. Both are closed; the first has a row in the table of bad requests.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.HashSet;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
@@ -40,11 +41,10 @@
     private final Branches branches;
     private final Prober prober;
     private final RouteSet routeSet;
+    private final List<Thread> parts;
     private final ExecutorService probes = threads("probe", 32);
     private ServerSocket socket;
-    private Listener listener;
-    private Thread ticker;
-    private Thread watcher;
+    private volatile Listener listener;
     private long sweptAt = System.nanoTime();
     private long countedAt = sweptAt;
     private Counts counts;
@@ -58,6 +58,7 @@
         routeSet = new RouteSet(config.discovery(),
             new RouteReader(config.names().zones(), config.names().kinds()), config.known().generation(),
             config.times().watchSilenceMs(), dispatcher);
+        parts = List.of(thread("ticker", this::tick), thread("routes", routeSet));
     }
 
     /** Opens the listener and serves from the list last known; returns at once. */
@@ -73,10 +74,7 @@
         listener = new Listener(socket, service, threads("leg", config.sizes().legs() + 8),
             threads("spare", SPARE_LEGS));
         lifecycle.enter(Lifecycle.Phase.SERVING);
-        ticker = thread("ticker", this::tick);
-        watcher = thread("routes", routeSet);
-        ticker.start();
-        watcher.start();
+        parts.forEach(Thread::start);
         thread("listener", listener).start();
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
@@ -98,6 +96,10 @@
         if (!lifecycle.enter(Lifecycle.Phase.DRAINING)) {
             return;
         }
+        if (listener == null) {                                  // told to end before anything was open
+            lifecycle.enter(Lifecycle.Phase.STOPPED);
+            return;
+        }
         try {
             long end = System.nanoTime() + (config.times().longestMs() + END_MS) * 1_000_000;
             Thread.sleep(config.times().acceptMs());
@@ -109,8 +111,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        ticker.interrupt();
-        watcher.interrupt();
+        parts.forEach(Thread::interrupt);
         routeSet.close();
         lifecycle.enter(Lifecycle.Phase.STOPPED);
     }
--- a/src/main/java/maplespread/http/HttpParser.java
+++ b/src/main/java/maplespread/http/HttpParser.java
@@ -182,7 +182,7 @@
 
     private void requestLine(String text) throws HttpError {
         String[] parts = text.split(" ", -1);
-        if (parts.length != 3 || !isToken(parts[0]) || parts[1].isEmpty()) {
+        if (parts.length != 3 || !isToken(parts[0]) || !parts[1].matches("[!-~]+")) {
             throw new HttpError(400, "malformed request line");
         }
         version(parts[2]);
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -199,7 +199,8 @@
             {400, good.replace("Length: 4", "Length: 4\r\nTransfer-Encoding: chunked")},
             {413, good.replace("Length: 4", "Length: 65537")}, {400, good.replace("Length: 4", "Length: +4")},
             {431, good.replace("Host: t", "Host: t\r\nX-Long: " + "x".repeat(17_000))},
-            {400, "nonsense\r\n\r\n"}, {400, "GET /ready HTTP/1.1\nHost: t\n\n"},
+            {400, good.replace("/page/x", "/page/\tx")}, {400, "nonsense\r\n\r\n"},
+            {400, "GET /ready HTTP/1.1\nHost: t\n\n"},
             {405, "POST /ready HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n"}};
         try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker)) {
             for (Object[] row : table) {
