Make the watch story give the same verdict on one core

Seen: with the tests held to one core, the watch story failed twice out of two ("never came: not ready without a worker"), while it passed with eight. Ruled out: the program's own watch, which rejected what no peer would send. A line now waits for its head; two runs on one core pass.

--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -35,6 +36,7 @@
         final HttpHead head;
         final String body;
         final HttpConnection link;
+        final CountDownLatch opened = new CountDownLatch(1);
 
         Call(HttpHead head, String body, HttpConnection link) {
             this.head = head;
@@ -52,9 +54,16 @@
 
         void open() throws IOException {
             raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            opened.countDown();
         }
 
+        /** A line may come from the story while the script still opens the answer: never before its head. */
         void line(String json) throws IOException {
+            try {
+                assertTrue("never opened", opened.await(LIMIT_MS, TimeUnit.MILLISECONDS));
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
             raw(Integer.toHexString(json.length() + 1) + "\r\n" + json + "\n\r\n");
         }
 
