Hear SIGHUP: read the file again and watch discovery's new address at once

The program's own log ends in DRAINING, FINISHING, STOPPED: the JVM runs the shutdown hook on SIGHUP, since nothing else handled it (Main.serve set up no handler). Ruled out: a fault in the hook or an error in the file, which was never read.

Now Main.onHangup hears it before anything is opened; Server.takeUp reads and checks the whole file, names what only a restart takes up, and RouteSet.move watches the new address, obeying the old watch until the new one has spoken. RELOADING is a named phase.

By hand on the example: good file, bad file, twice at once, and after SIGTERM.

--- a/example/ToyFleet.java
+++ b/example/ToyFleet.java
@@ -5,17 +5,23 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
 
-/** A toy: discovery on port 8500 and two workers of four slots on 9001 and 9002, all on 127.0.0.1. */
+/**
+ * A toy on 127.0.0.1: discovery on port 8500, or the one given, and two workers of four slots on the ports
+ * 501 and 502 above it.
+ */
 public final class ToyFleet {
-    private static final int[] WORKERS = {9001, 9002};
-    private static final Map<Integer, Semaphore> SLOTS = Map.of(9001, new Semaphore(4, true),
-        9002, new Semaphore(4, true));
+    private static final Map<Integer, Semaphore> SLOTS = new TreeMap<>();       // by worker
 
     public static void main(String[] args) throws IOException {
-        for (int port : WORKERS) {
+        int first = args.length > 0 ? Integer.parseInt(args[0]) : 8500;
+        for (int port = first + 501; port <= first + 502; port++) {
+            SLOTS.put(port, new Semaphore(4, true));
+        }
+        for (int port : SLOTS.keySet()) {
             HttpServer worker = server(port);
             worker.createContext("/status/load", x -> {
                 int free = SLOTS.get(port).availablePermits();
@@ -28,10 +34,10 @@
             worker.createContext("/", x -> job(x, port));
             worker.start();
         }
-        HttpServer discovery = server(8500);
+        HttpServer discovery = server(first);
         discovery.createContext("/v1/endpoints", ToyFleet::list);
         discovery.start();
-        System.out.println("discovery on 8500, workers on 9001 and 9002; stop with Ctrl-C");
+        System.out.println("discovery on " + first + ", workers on " + SLOTS.keySet() + "; stop with Ctrl-C");
     }
 
     private static HttpServer server(int port) throws IOException {
@@ -63,8 +69,9 @@
     /** Sends the whole list, then an empty line every 2 s where a watch was asked for. */
     private static void list(HttpExchange x) throws IOException {
         StringBuilder list = new StringBuilder("{\"generation\":1,\"reset\":true,\"instances\":[");
-        for (int port : WORKERS) {
-            list.append(port == WORKERS[0] ? "" : ",").append("{\"instanceId\":\"toy-").append(port)
+        for (int port : SLOTS.keySet()) {
+            list.append(list.charAt(list.length() - 1) == '[' ? "" : ",")
+                .append("{\"instanceId\":\"toy-").append(port)
                 .append("\",\"hostPort\":\"127.0.0.1:").append(port).append("\",\"zone\":\"here\",")
                 .append("\"machineType\":\"toy\",\"cell\":1,\"lifecycle\":\"SERVING\",\"weight\":1.0,")
                 .append("\"startedAtMs\":0}");
--- a/src/main/java/maplespread/Lifecycle.java
+++ b/src/main/java/maplespread/Lifecycle.java
@@ -2,14 +2,15 @@
 
 import org.tinylog.Logger;
 
-/** The program's phases, from start to exit. Phases only move forward. */
+/** The program's phases, from start to exit. They move forward only, save for the way back from a reload. */
 public final class Lifecycle {
     /**
-     * STARTING: the configuration is read, nothing is open. SERVING: all is on. DRAINING: told to end;
-     * still accepting, no longer ready. FINISHING: nothing new is accepted, what was taken is finished.
-     * STOPPED: all taken work has been answered, or its time is over.
+     * STARTING: the configuration is read, nothing is open. SERVING: all is on. RELOADING: the same, while a
+     * new configuration is read, checked and applied. DRAINING: told to end; still accepting, no longer
+     * ready. FINISHING: nothing new is accepted, what was taken is finished. STOPPED: all taken work has been
+     * answered, or its time is over.
      */
-    public enum Phase { STARTING, SERVING, DRAINING, FINISHING, STOPPED }
+    public enum Phase { STARTING, SERVING, RELOADING, DRAINING, FINISHING, STOPPED }
 
     private Phase phase = Phase.STARTING;
 
@@ -18,7 +19,8 @@
     }
 
     public boolean serving() {
-        return phase() == Phase.SERVING;
+        Phase now = phase();
+        return now == Phase.SERVING || now == Phase.RELOADING;
     }
 
     /** Moves on; false where the phase has been reached before. */
@@ -32,6 +34,21 @@
         return true;
     }
 
+    /** Does a reload's work. A shutdown that began before it, or begins meanwhile, goes on all the same. */
+    public void reload(Runnable work) {
+        enter(Phase.RELOADING);
+        try {
+            work.run();
+        } finally {
+            synchronized (this) {
+                if (phase == Phase.RELOADING) {
+                    phase = Phase.SERVING;
+                    Logger.info("{} again", phase);
+                }
+            }
+        }
+    }
+
     /** Waits until the phase is reached. */
     public synchronized void await(Phase awaited) throws InterruptedException {
         while (phase.ordinal() < awaited.ordinal()) {
--- a/src/main/java/maplespread/Main.java
+++ b/src/main/java/maplespread/Main.java
@@ -3,10 +3,12 @@
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.util.Map;
 import maplespread.config.ConfigError;
 import maplespread.config.ConfigReader;
 import maplespread.drill.WireAdapter;
 import org.tinylog.Logger;
+import sun.misc.Signal;
 
 /**
  * The command line: {@code serve} is one real dispatcher, {@code drill} speaks the simulator's wire on
@@ -30,7 +32,9 @@
 
     private static void serve() {
         try {
-            Server server = new Server(ConfigReader.fromEnvironment(System.getenv()));
+            Map<String, String> env = System.getenv();
+            Server server = new Server(ConfigReader.fromEnvironment(env), () -> ConfigReader.again(env));
+            onHangup(server::reload);
             // The JVM ends when its hooks have: this one waits for the taken work, and makes the status 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 server.stop();
@@ -49,6 +53,15 @@
         }
     }
 
+    /** Guards against the JVM's own answer to SIGHUP, which is to exit. */
+    static void onHangup(Runnable work) {
+        try {
+            Signal.handle(new Signal("HUP"), signal -> work.run());
+        } catch (IllegalArgumentException e) {
+            Logger.warn("SIGHUP cannot be heard here: {}", e.getMessage());
+        }
+    }
+
     private static void drill() throws IOException {
         try (PrintStream out = new PrintStream(new BufferedOutputStream(System.out, 1 << 16), false,
             "UTF-8")) {
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,7 @@
 import maplespread.caller.Listener;
 import maplespread.caller.Service;
 import maplespread.config.Config;
+import maplespread.config.ConfigError;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -34,7 +36,14 @@
     private static final long COUNT_MS = 10_000;
     private static final long END_MS = 400;                      // beyond the longest deadline
 
+    /** Where a new configuration comes from. */
+    public interface Source {
+        Config read() throws ConfigError;
+    }
+
     private final Config config;
+    private final Source source;
+    private final Semaphore reloads = new Semaphore(0);
     private final Lifecycle lifecycle = new Lifecycle();
     private final Dispatcher dispatcher;
     private final Links links;
@@ -49,8 +58,10 @@
     private long countedAt = sweptAt;
     private Counts counts;
 
-    public Server(Config config) {
+    /** {@code source}: asked at each reload. */
+    public Server(Config config, Source source) {
         this.config = config;
+        this.source = source;
         dispatcher = new Dispatcher(config.settings(), config.seed());
         links = new Links(config);
         branches = new Branches(links, dispatcher);
@@ -58,7 +69,7 @@
         routeSet = new RouteSet(config.discovery(),
             new RouteReader(config.names().zones(), config.names().kinds()), config.known().generation(),
             config.times().watchSilenceMs(), dispatcher);
-        parts = List.of(thread("ticker", this::tick), thread("routes", routeSet));
+        parts = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
     }
 
     /** Opens the listener and serves from the list last known; returns at once. */
@@ -75,10 +86,45 @@
             threads("spare", SPARE_LEGS));
         lifecycle.enter(Lifecycle.Phase.SERVING);
         parts.forEach(Thread::start);
+        routeSet.start();
         thread("listener", listener).start();
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
 
+    /** Has the configuration read anew; asked several times at once, it is read after the last of them. */
+    public void reload() {
+        reloads.release();
+    }
+
+    private void reloads() {
+        try {
+            while (true) {
+                reloads.acquire();
+                reloads.drainPermits();
+                lifecycle.reload(this::takeUp);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** All of the file is read and checked before any of it counts; a bad one changes nothing. */
+    private void takeUp() {
+        try {
+            Config next = source.read();
+            List<String> later = config.needingRestart(next);
+            if (!later.isEmpty()) {
+                Logger.warn("configuration: changed, but taken up only by a restart: {}", later);
+            }
+            Logger.info("configuration: read anew; discovery at {}{}", next.discovery(),
+                routeSet.move(next.discovery()) ? ", watched from now on" : " as before");
+        } catch (ConfigError e) {
+            Logger.error("configuration: {}; the old one stays", e.getMessage());
+        } catch (RuntimeException | Error e) {                   // the next reload must still be heard
+            Logger.error(e, "a reload failed; the old configuration stays");
+        }
+    }
+
     public Lifecycle lifecycle() {
         return lifecycle;
     }
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -1,6 +1,7 @@
 package maplespread.config;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
@@ -8,6 +9,23 @@
 /** All that a dispatcher is told, read and checked by {@link ConfigReader}. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                      Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
+    /** The keys in which another configuration differs that a running program cannot take up. */
+    public List<String> needingRestart(Config other) {
+        List<String> keys = new ArrayList<>();
+        differ(keys, "name", name, other.name);
+        differ(keys, "listen", listen, other.listen);
+        differ(keys, "limits", sizes, other.sizes);
+        differ(keys, "settings", List.of(settings, names, times), List.of(other.settings, other.names,
+            other.times));
+        return keys;
+    }
+
+    private static void differ(List<String> keys, String key, Object here, Object there) {
+        if (!here.equals(there)) {
+            keys.add(key);
+        }
+    }
+
     /** What the sockets call classes, tenants, zones and machine kinds, in the settings' order. */
     public record Names(List<String> classes, List<String> tenants, List<String> zones,
                         List<String> kinds) { }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -28,6 +28,16 @@
 
     private ConfigReader() { }
 
+    /**
+     * The file anew, for a program that runs: the address of discovery is now the file's word alone, whatever
+     * the environment said at the start.
+     */
+    public static Config again(Map<String, String> env) throws ConfigError {
+        Map<String, String> rest = new HashMap<>(env);
+        rest.remove("BALANCER_DISCOVERY");
+        return fromEnvironment(rest);
+    }
+
     /** From the environment: BALANCER_CONFIG names the file, the other variables win over it. */
     public static Config fromEnvironment(Map<String, String> env) throws ConfigError {
         String file = env.get("BALANCER_CONFIG");
--- a/src/test/java/maplespread/config/ConfigReaderTest.java
+++ b/src/test/java/maplespread/config/ConfigReaderTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import maplespread.decision.Dispatch;
 import org.junit.Test;
@@ -52,4 +53,17 @@
         assertThrows(ConfigError.class, () -> ConfigReader.read("[", Map.of()));
         assertThrows(ConfigError.class, () -> ConfigReader.fromEnvironment(Map.of()));
     }
+
+    /** Guards a move of discovery: what the environment said at the start must not outlive a new file. */
+    @Test public void afterTheStartTheFileSaysWhereDiscoveryIs() throws Exception {
+        Map<String, String> env = Map.of("BALANCER_CONFIG", "example/config.json", "BALANCER_DISCOVERY",
+            "127.0.0.1:1", "BALANCER_NAME", "other");
+        assertEquals(1, ConfigReader.fromEnvironment(env).discovery().getPort());
+        Config again = ConfigReader.again(env);
+        assertEquals(8500, again.discovery().getPort());
+        assertEquals("other", again.name());
+        assertEquals(List.of(), ConfigReader.fromEnvironment(env).needingRestart(again));
+        Config other = ConfigReader.read(example().replace("7070", "7071").replace("0.12", "0.2"), Map.of());
+        assertEquals(List.of("name", "listen", "settings"), again.needingRestart(other));
+    }
 }
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -180,6 +180,8 @@
 
     final Peer discovery;
     final Server server;
+    volatile String file;                                        // what a reload reads
+    volatile Runnable beforeReading = () -> { };
 
     /** With these workers known from before, and discovery saying nothing beyond that at first. */
     Loopback(Peer... workers) throws Exception {
@@ -191,7 +193,12 @@
             call.open();
             call.line("");
         });
-        server = new Server(change.apply(ConfigReader.read(config(discovery.address(), workers), Map.of())));
+        file = config(discovery.address(), workers);
+        server = new Server(change.apply(ConfigReader.read(file, Map.of())),
+            () -> {
+                beforeReading.run();
+                return ConfigReader.read(file, Map.of());
+            });
         server.start();
     }
 
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -9,6 +9,8 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import maplespread.Lifecycle.Phase;
 import maplespread.config.Config;
 import maplespread.net.Loopback.Call;
@@ -185,6 +187,54 @@
         }
     }
 
+    /** Guards a change of discovery's address: no drain is missed, and nothing that was taken is lost. */
+    @Test public void aReloadWatchesTheNewAddressAndHoldsTheListUntilItSpeaks() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Peer elsewhere = new Peer(Call::open);
+             Loopback here = new Loopback(worker); Client waiting = here.new Client();
+             Client client = here.new Client()) {
+            Call old = here.discovery.next();
+            waiting.send(job("page", "held", 4000));
+            Call held = worker.next();
+            here.file = here.file.replace(here.discovery.address(), elsewhere.address());
+            here.server.reload();
+            here.server.reload();
+            Call watch = elsewhere.next();
+            assertEquals("/v1/endpoints?follow=1&since=0", watch.head.target());
+            assertEquals("the last list holds", 200, ready(client));
+            old.line(list(2, false, "DRAINING", worker));
+            until("a drain told at the old address", () -> ready(client) == 503);
+            watch.line(list(1, true, "SERVING", worker));
+            until("the new list", () -> ready(client) == 200);
+            assertFalse("the old watch is dropped", old.link.fill(Loopback.LIMIT_MS));
+            watch.link.close();
+            assertEquals("/v1/endpoints?follow=1&since=1", elsewhere.next().head.target());
+            held.open();
+            held.done("ok");
+            assertEquals(200, waiting.answer().head.status());
+            assertEquals("the old address is asked no more", 0, here.discovery.calls.size());
+        }
+    }
+
+    /** Guards against a bad file: nothing of it is applied, and the next good one is. */
+    @Test public void aFileThatCannotBeUsedLeavesTheOldConfiguration() throws Exception {
+        try (Peer worker = new Peer(DONE); Peer elsewhere = new Peer(Call::open);
+             Loopback here = new Loopback(worker); Client client = here.new Client()) {
+            here.discovery.next();
+            String good = here.file.replace(here.discovery.address(), elsewhere.address());
+            CountDownLatch read = new CountDownLatch(1);
+            here.beforeReading = read::countDown;
+            here.file = good.replace("\"coldFrom\":0.12", "\"coldFrom\":0");
+            here.server.reload();
+            assertTrue(read.await(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS));
+            until("reloaded", () -> here.server.lifecycle().phase() == Phase.SERVING);
+            assertEquals("the old configuration goes on", 200, client.status(job("page", "t", 4000)));
+            assertEquals(0, elsewhere.calls.size());
+            here.file = good;
+            here.server.reload();
+            elsewhere.next();
+        }
+    }
+
     @Test public void badRequestsAreAnsweredAndNoneReachesAWorker() throws Exception {
         String good = job("page", "t", 4000);
         Object[][] table = {
