Hold bad clients to whole-message limits, shed the silent first, serve on after SIGTERM

Logs: one node ended 2 s after SIGTERM, the other refused connections from 0.5 s on, and the first was not back yet.

At fault: legIdleMs (60 s) also for connections that had brought nothing; legReadMs (10 s) from the first byte on; Listener.serve ended any idle leg, fresh usual ones included, and read surplus connections on the listener's own thread, up to a second each; CallerLeg passed on a request with bytes behind it; ids were forgotten at the end of a request. Server.stop told all clients to go at SIGTERM.

Now: 2.5 s for a whole first request from connecting; silent legs are shed, useless before useful; bytes out of turn are 400; ids are remembered; workers get composed headers; sizes follow both limits; open connections are served for 3 s after SIGTERM, all deadlines capped so that everything is answered.

--- a/src/main/java/maplespread/Lifecycle.java
+++ b/src/main/java/maplespread/Lifecycle.java
@@ -6,9 +6,9 @@
 public final class Lifecycle {
     /**
      * STARTING: the configuration is read, nothing is open. SERVING: all is on. RELOADING: the same, while a
-     * new configuration is read, checked and applied. DRAINING: told to end; still accepting, no longer
-     * ready. FINISHING: nothing new is accepted, what was taken is finished. STOPPED: all taken work has been
-     * answered, or its time is over.
+     * new configuration is read, checked and applied. DRAINING: told to end; no longer ready, still
+     * accepting for a moment, and still serving the connections that are open. FINISHING: these end, what was
+     * taken is finished. STOPPED: all taken work has been answered, or its time is over.
      */
     public enum Phase { STARTING, SERVING, RELOADING, DRAINING, FINISHING, STOPPED }
 
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -51,9 +51,10 @@
     private final Prober prober;
     private final RouteSet routeSet;
     private final List<Thread> parts;
-    private final ExecutorService probes = threads("probe", 32);
+    private final ExecutorService probes;
     private ServerSocket socket;
     private volatile Listener listener;
+    private volatile long lastUs = Long.MAX_VALUE;               // by when all must be answered
     private long sweptAt = System.nanoTime();
     private long countedAt = sweptAt;
     private Counts counts;
@@ -62,6 +63,7 @@
     public Server(Config config, Source source) {
         this.config = config;
         this.source = source;
+        probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed());
         links = new Links(config);
         branches = new Branches(links, dispatcher);
@@ -80,9 +82,10 @@
         InetSocketAddress at = config.listen();
         socket.bind(at, BACKLOG);
         Service service = new Service(config, dispatcher, branches,
-            threads("transaction", config.sizes().transactions() + 8), lifecycle::serving);
+            threads("transaction", config.sizes().transactions() + 8), lifecycle::serving,
+            () -> lifecycle.phase().ordinal() >= Lifecycle.Phase.FINISHING.ordinal(), () -> lastUs);
         counts = service.counts();
-        listener = new Listener(socket, service, threads("leg", config.sizes().legs() + 8),
+        listener = new Listener(socket, service, threads("leg", config.sizes().legs() + SPARE_LEGS),
             threads("spare", SPARE_LEGS));
         lifecycle.enter(Lifecycle.Phase.SERVING);
         parts.forEach(Thread::start);
@@ -135,8 +138,10 @@
     }
 
     /**
-     * Ends in order: accepts a while longer, since clients are sent here until the front has noticed, then
-     * finishes all that was taken. Returns once that is done or the longest deadline has passed.
+     * Ends in order: accepts a while longer, since clients are sent here until the front has noticed; serves
+     * the open connections a while beyond that, since their clients use them as long as they stay open and
+     * another dispatcher may be restarting too; then finishes all that was taken. Returns once that is done
+     * or the longest deadline has passed.
      */
     public void stop() {
         if (!lifecycle.enter(Lifecycle.Phase.DRAINING)) {
@@ -147,9 +152,15 @@
             return;
         }
         try {
-            long end = System.nanoTime() + (config.times().longestMs() + END_MS) * 1_000_000;
+            long ms = 1_000_000;
+            long start = System.nanoTime();
+            long end = start + (config.times().longestMs() + END_MS) * ms;
+            lastUs = dispatcher.nowUs() + (config.times().longestMs() + END_MS / 2) * 1000;
             Thread.sleep(config.times().acceptMs());
             listener.close();
+            while (listener.size() > 0 && System.nanoTime() - start < config.times().holdMs() * ms) {
+                Thread.sleep(10);
+            }
             lifecycle.enter(Lifecycle.Phase.FINISHING);
             while ((listener.endIdle() > 0 || !listener.closed()) && System.nanoTime() < end) {
                 Thread.sleep(10);
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -48,6 +48,11 @@
         give(HttpWriter.response(status), text(why));
     }
 
+    /** The client has broken the framing: fails, ends the connection. False where an answer came before. */
+    boolean broken(String why) {
+        return give(HttpWriter.response(400), text(why), true);
+    }
+
     /** Ends the matter without an answer: the client has left. */
     void drop() {
         if (claimed.compareAndSet(false, true)) {
@@ -70,10 +75,14 @@
     }
 
     private void give(HttpWriter head, byte[] body) {
+        give(head, body, false);
+    }
+
+    private boolean give(HttpWriter head, byte[] body, boolean end) {
         if (!claimed.compareAndSet(false, true)) {
-            return;
+            return false;
         }
-        boolean close = last.getAsBoolean();
+        boolean close = end || last.getAsBoolean();
         closed = close;
         try {
             connection.send((close ? head.field("Connection", "close") : head).body(body));
@@ -85,6 +94,7 @@
         } finally {
             over.countDown();
         }
+        return true;
     }
 
     private static byte[] text(String why) {
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -3,7 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.RejectedExecutionException;
+import maplespread.config.Config;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -23,20 +25,31 @@
  */
 final class CallerLeg implements Runnable {
     private static final long POLL_MS = 1000;
+    private static final long SPARE_MS = 200;                    // for the one request of a leg turned away
+    private static final long LINGER_MS = 2000;                  // enough to pass over 60 MB
     private static final double FULL_PAUSE_MS = 250;             // beyond capacity the module is not asked
+    private static final int MOST_FAULTS = 4;                    // in a row, then the connection ends
+    private static final long FAULT_PAUSE_MS = 25;               // doubles with each
 
     private final HttpConnection connection;
     private final Service service;
     private final Dispatcher dispatcher;
-    private volatile boolean turnAway;
+    private final Config.Times times;
+    private final boolean turnAway;
+    private final long connectedAt = System.nanoTime();
+    private volatile long quietSince = connectedAt;              // when it last had anything to do
+    private volatile boolean useful;                             // it has brought a request worth an answer
     private volatile Answer current;                             // null where no request is held
     private volatile boolean ending;
+    private boolean answered;
+    private int faults;                                          // unacceptable requests in a row
 
     /** {@code turnAway}: beyond the number of legs, so its one request is refused. */
     CallerLeg(HttpConnection connection, Service service, boolean turnAway) {
         this.connection = connection;
         this.service = service;
         this.dispatcher = service.dispatcher();
+        this.times = service.config().times();
         this.turnAway = turnAway;
     }
 
@@ -46,24 +59,39 @@
         return now == null || now.given();
     }
 
+    /** Whether it has ever brought a request that was acceptable. */
+    boolean useful() {
+        return useful;
+    }
+
+    boolean ending() {
+        return ending;
+    }
+
+    long quietSince() {
+        return quietSince;
+    }
+
+    /** Whether nothing has come on it that waits to be read. */
+    boolean silent() {
+        return idle() && !connection.pending();
+    }
+
     void cutIfStuck() {
-        connection.cutIfStuck(service.config().times().legReadMs());
+        connection.cutIfStuck(times.legReadMs());
     }
 
-    /**
-     * Between requests a connection may be closed; a request that crosses it is sent again by its client.
-     * False where it was ended before.
-     */
-    boolean end() {
-        boolean first = !ending;
+    /** Between requests a connection may be closed; a request that crosses it is sent again by its client. */
+    void end() {
         ending = true;
         connection.endReading();
-        return first;
     }
 
-    /** Has its one request refused. */
-    void turnAway() {
-        turnAway = true;
+    /** Refuses whatever it brings, unread: for when no thread is left that could read it. */
+    void refuse() {
+        service.counts().busy.increment();
+        new Answer(connection, () -> true).busy(FULL_PAUSE_MS);
+        connection.close();
     }
 
     @Override public void run() {
@@ -92,11 +120,13 @@
         if (!first()) {
             return false;
         }
+        // The first request is to be whole soon after connecting, whatever the client does in between.
+        long whole = (answered ? System.nanoTime() : connectedAt) + readMs() * 1_000_000;
         Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()));
         current = answer;
         boolean large = false;
         try {
-            head(parser);
+            connection.receiveBy(parser, whole, true);
             if (parser.bodyLength() > Service.LARGE) {
                 large = service.largeRoom().tryAcquire();
             }
@@ -108,15 +138,17 @@
             if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
                 connection.send(HttpWriter.response(100).bytes());
             }
-            connection.receive(parser, readMs());
+            connection.receiveBy(parser, whole, false);
             long lastByteUs = dispatcher.nowUs();
             HttpHead head = parser.head();
-            if (!page(head, answer)) {
-                job(new JobRequest(service.config(), head, body.toByteArray(), lastByteUs), answer);
+            if (early()) {
+                broken(answer);
+            } else if (!page(head, answer)) {
+                job(new JobRequest(service, head, body.toByteArray(), lastByteUs), answer);
             }
         } catch (HttpError bad) {
             // After malformed framing nothing on the connection can be trusted; a mere wrong value may go on.
-            answer.failed(bad.status(), bad.getMessage());
+            fault(answer, bad.status(), bad.getMessage());
         } finally {
             if (large) {
                 service.largeRoom().release();
@@ -126,51 +158,74 @@
             linger();
             return false;
         }
+        answered = true;
+        quietSince = System.nanoTime();
         current = null;
         return true;
     }
 
+    /** Turns a request down that no worker may see. */
+    private void fault(Answer answer, int status, String why) {
+        faults++;
+        service.counts().faulty.increment();
+        answer.failed(status, why);
+    }
+
+    /** Ends the connection on bytes out of turn; false where the request had its answer before. */
+    private boolean broken(Answer answer) {
+        boolean first = answer.broken("one request at a time");
+        if (first) {
+            service.counts().faulty.increment();
+        }
+        return first;
+    }
+
     private long readMs() {
-        return turnAway ? POLL_MS : service.config().times().legReadMs();
+        return turnAway ? SPARE_MS : times.legReadMs();
     }
 
     /** Whether the connection is to end after this request. */
     private boolean ends(HttpHead head) {
-        return turnAway || ending || !head.keepsAlive() || !service.serving().getAsBoolean();
+        return turnAway || ending || faults >= MOST_FAULTS || !head.keepsAlive()
+            || service.finishing().getAsBoolean();
     }
 
-    /** Waits for a request's first byte. */
-    private boolean first() throws IOException {
+    /**
+     * Waits for a request's first byte. A leg that has brought nothing yet, or only faults, is not waited for
+     * as long as a useful one: guards the places against crowds that connect, or ask once, and stay.
+     */
+    private boolean first() throws IOException, InterruptedException {
+        if (faults > 0) {
+            Thread.sleep(FAULT_PAUSE_MS << faults);              // the same again at once is not worth more
+        }
         if (connection.buffer().hasRemaining()) {
             return true;                                         // what has been read is taken, ending or not
         }
-        long end = System.nanoTime() + service.config().times().legIdleMs() * 1_000_000;
-        while (System.nanoTime() < end && !ending) {
-            try {
-                return connection.fill(turnAway ? POLL_MS : service.config().times().legIdleMs());
-            } catch (SocketTimeoutException quiet) {
-                if (turnAway) {
-                    return false;
-                }
-            }
+        long wait = turnAway ? SPARE_MS : useful ? times.legIdleMs() : times.legReadMs();
+        try {
+            return !ending && connection.fill(wait);
+        } catch (SocketTimeoutException quiet) {
+            return false;
         }
-        return false;
     }
 
-    /** Reads up to the body. */
-    private void head(HttpParser parser) throws IOException {
-        long end = System.nanoTime() + readMs() * 1_000_000;
-        parser.feed(connection.buffer());
-        while (!parser.headDone()) {
-            long left = (end - System.nanoTime()) / 1_000_000;
-            if (left <= 0) {
-                throw new SocketTimeoutException();
-            }
-            if (!connection.fill(left)) {
-                throw new IOException("ended inside a head");
+    /**
+     * Whether bytes have come beyond the request. The protocol has one at a time, so either the client
+     * floods, or it means another length than it stated: then neither part is what it seems. Empty lines are
+     * passed over, as some clients end their bodies with one.
+     */
+    private boolean early() throws IOException {
+        do {
+            ByteBuffer buffer = connection.buffer();
+            while (buffer.hasRemaining()) {
+                byte b = buffer.get(buffer.position());
+                if (b != '\r' && b != '\n') {
+                    return true;
+                }
+                buffer.get();
             }
-            parser.feed(connection.buffer());
-        }
+        } while (connection.pending() && connection.fill(POLL_MS));
+        return false;
     }
 
     private boolean page(HttpHead head, Answer answer) {
@@ -194,22 +249,24 @@
             return;
         }
         String id = job.message.id();
-        if (!service.inWork().add(id)) {                         // the same request may not run twice at once
+        if (!service.ids().take(id)) {                           // the same request may not run twice
             service.room().release();
-            answer.failed(409, "this X-Txn is in work");
+            fault(answer, 409, "this X-Txn was used before");
             return;
         }
+        useful = true;
+        faults = 0;
         try {
             service.transactions().execute(() -> {
                 try {
                     transact(job, answer);
                 } finally {
-                    service.inWork().remove(id);
+                    service.ids().ended(id);
                     service.room().release();
                 }
             });
         } catch (RejectedExecutionException | OutOfMemoryError e) {    // no thread is to be had
-            service.inWork().remove(id);
+            service.ids().ended(id);
             service.room().release();
             answer.busy(FULL_PAUSE_MS);
             return;
@@ -218,17 +275,20 @@
     }
 
     /** Reads on while the transaction is in work: an end here means that the client has left. */
-    private void watch(Transaction t, Answer answer) throws InterruptedException {
+    private void watch(Transaction t, Answer answer) throws IOException, InterruptedException {
         while (!answer.given()) {
-            if (connection.buffer().hasRemaining()) {            // the next request came early: it waits
-                answer.awaitGiven();
-                return;
-            }
             try {
                 if (!connection.fill(POLL_MS) && !ending) {
                     leave(t, answer);
                     return;
                 }
+                if (early()) {
+                    if (broken(answer)) {
+                        dispatcher.reportLeft(t);
+                    }
+                    answer.awaitGiven();                         // else it was on its way: this is the next
+                    return;
+                }
             } catch (SocketTimeoutException quiet) {
                 // look again
             } catch (IOException e) {
@@ -302,11 +362,11 @@
 
     /** Lets the answer arrive before the connection closes: unread bytes would reset it. */
     private void linger() {
-        long end = System.nanoTime() + POLL_MS * 1_000_000;
+        long end = System.nanoTime() + LINGER_MS * 1_000_000;
         try {
-            while (System.nanoTime() < end) {
+            for (long now = System.nanoTime(); now < end; now = System.nanoTime()) {
                 connection.buffer().position(connection.buffer().limit());
-                if (!connection.fill(POLL_MS)) {
+                if (!connection.fill((end - now) / 1_000_000)) {
                     return;
                 }
             }
--- a/src/main/java/maplespread/caller/Counts.java
+++ b/src/main/java/maplespread/caller/Counts.java
@@ -8,6 +8,8 @@
     final LongAdder served = new LongAdder();
     final LongAdder busy = new LongAdder();
     final LongAdder failed = new LongAdder();
+    final LongAdder faulty = new LongAdder();
+    final LongAdder shed = new LongAdder();
     final LongAdder left = new LongAdder();
 
     /** Writes one line and starts anew; nothing where nothing was answered. */
@@ -16,8 +18,11 @@
         long b = busy.sumThenReset();
         long f = failed.sumThenReset();
         long l = left.sumThenReset();
-        if (s + b + f + l > 0) {
-            Logger.info("served {}, busy {}, failed {}, clients left {}; {} caller legs", s, b, f, l, legs);
+        long bad = faulty.sumThenReset();
+        long cut = shed.sumThenReset();
+        if (s + b + f + l + bad + cut > 0) {
+            Logger.info("served {}, busy {}, failed {}, clients left {}; faulty requests {}, silent legs "
+                + "closed for others {}; {} caller legs", s, b, f, l, bad, cut, legs);
         }
     }
 }
--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import maplespread.config.Config;
 import maplespread.facade.Transaction;
 import maplespread.http.HttpError;
@@ -15,19 +14,21 @@
     private static final long LONGEST_MS = 3_600_000;
     /** For the answer's way to the client, so that one at the deadline still arrives in time. */
     private static final long WAY_BACK_US = 5_000;
-    private static final Set<String> OWN_FIELDS = Set.of("host", "connection", "keep-alive", "te", "trailer",
-        "upgrade", "expect", "transfer-encoding", "content-length", "proxy-connection", "proxy-authorization",
-        "x-txn", "x-remaining-ms");
+    private static final int LONGEST_TARGET = 2048;
 
     final Message message;
     final Transaction transaction;
 
     /** {@code lastByteUs}: when the request's last byte had come, on the dispatcher's clock. */
-    JobRequest(Config config, HttpHead head, byte[] body, long lastByteUs) throws HttpError {
+    JobRequest(Service service, HttpHead head, byte[] body, long lastByteUs) throws HttpError {
+        Config config = service.config();
         int cls = config.names().classes().indexOf(firstPart(head.target()));
         if (cls < 0) {
             throw new HttpError(404, "no such path");
         }
+        if (head.target().length() > LONGEST_TARGET) {
+            throw new HttpError(414, "target too long");
+        }
         if (!head.method().equals("POST")) {
             throw new HttpError(405, "jobs come by POST");
         }
@@ -72,20 +73,24 @@
                 default -> { }                                   // keys may be added
             }
         }
-        message = new Message(head.method(), head.target(), id, passedOn(head), body);
-        transaction = new Transaction(cls, tenant, lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US,
-            workMs, slots, memory, one(head, "X-Entity"));
-    }
-
-    private static List<String[]> passedOn(HttpHead head) {
+        String entity = one(head, "X-Entity");
+        // Nothing of the client's own head goes on but what was checked here: a worker closes on a head
+        // that it cannot read, and a field may mean something else to it than to this parser.
         List<String[]> fields = new ArrayList<>();
-        for (String[] f : head.fields()) {
-            String name = f[0].toLowerCase(Locale.ROOT);
-            if (!OWN_FIELDS.contains(name) && !head.lists("Connection", name)) {
-                fields.add(f);
+        fields.add(new String[] {"X-Lane", lane});
+        if (!config.names().tenants().isEmpty()) {
+            fields.add(new String[] {"X-Org", config.names().tenants().get(tenant)});
+        }
+        if (entity != null && !entity.isEmpty()) {
+            if (!entity.matches("[ -~]{1,256}")) {
+                throw new HttpError(400, "malformed X-Entity");
             }
+            fields.add(new String[] {"X-Entity", entity});
         }
-        return fields;
+        message = new Message(head.method(), head.target(), id, fields, body);
+        long waitsUntilUs = lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US;
+        transaction = new Transaction(cls, tenant, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
+            workMs, slots, memory, entity);
     }
 
     private static String firstPart(String target) {
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -4,7 +4,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -15,6 +14,7 @@
 /** Accepts client connections and keeps the set of caller legs within its size. */
 public final class Listener implements Runnable {
     private static final int POLL_MS = 100;
+    private static final long FRESH_NANOS = 150_000_000;
     private final ServerSocket server;
     private final Service service;
     private final ExecutorService legThreads;
@@ -47,7 +47,7 @@
                 }
             } catch (IOException | RuntimeException | Error e) { // out of descriptors, say: it must go on
                 Logger.warn("accept failed: {}", e.getMessage());
-                pause();
+                pause(20);
             }
         }
         try {
@@ -59,11 +59,7 @@
     }
 
     private void serve(Socket socket) throws IOException {
-        boolean room = legs.size() < service.config().sizes().legs();
-        if (!room) {
-            Optional<CallerLeg> idle = legs.stream().filter(l -> l.idle() && l.end()).findFirst();
-            room = idle.isPresent();
-        }
+        boolean room = room();
         CallerLeg leg = new CallerLeg(new HttpConnection(socket), service, !room);
         legs.add(leg);
         Runnable work = () -> {
@@ -75,10 +71,46 @@
         };
         try {
             (room ? legThreads : spareThreads).execute(work);
-        } catch (RejectedExecutionException | OutOfMemoryError e) {    // no thread is left: this one must do
-            leg.turnAway();
-            work.run();
+        } catch (RejectedExecutionException | OutOfMemoryError e) {    // no thread is left to read it
+            legs.remove(leg);
+            leg.refuse();
+        }
+    }
+
+    /**
+     * Makes room for one more leg, at the cost of one that holds no request, one that never brought anything
+     * first. Those of a crowd that came just now cannot be told from useful clients, whose first bytes come
+     * at once: they get a moment, for which the next in the queue waits.
+     */
+    private boolean room() {
+        long end = System.nanoTime() + 2 * FRESH_NANOS;
+        while (legs.size() >= service.config().sizes().legs()) {
+            boolean crowd = legs.stream().anyMatch(l -> !l.useful() && l.idle() && !l.ending());
+            CallerLeg silent = longestSilent(!crowd);
+            if (silent != null) {
+                silent.end();
+                service.counts().shed.increment();
+                return true;
+            }
+            if (System.nanoTime() > end || !crowd) {
+                return false;
+            }
+            pause(5);
+        }
+        return true;
+    }
+
+    /** Of those that are useful, or are not, and have been silent for more than a moment. */
+    private CallerLeg longestSilent(boolean useful) {
+        long now = System.nanoTime();
+        CallerLeg found = null;
+        for (CallerLeg leg : legs) {
+            if (leg.useful() == useful && !leg.ending() && now - leg.quietSince() > FRESH_NANOS
+                && (found == null || leg.quietSince() < found.quietSince()) && leg.silent()) {
+                found = leg;
+            }
         }
+        return found;
     }
 
     /** How many client connections are open. */
@@ -86,9 +118,10 @@
         return legs.size();
     }
 
-    /** Ends the legs whose clients do not read their answers. */
+    /** Ends the legs whose clients do not read their answers, and forgets ids of long ago. */
     public void sweep() {
         legs.forEach(CallerLeg::cutIfStuck);
+        service.ids().sweep();
     }
 
     /** Stops accepting once the queue is empty. */
@@ -111,9 +144,9 @@
         return legs.size();
     }
 
-    private static void pause() {
+    private static void pause(long ms) {
         try {
-            Thread.sleep(20);
+            Thread.sleep(ms);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -1,26 +1,29 @@
 package maplespread.caller;
 
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import maplespread.config.Config;
 import maplespread.facade.Dispatcher;
 import maplespread.worker.Branches;
 
-/** What all caller legs share. */
+/**
+ * What all caller legs share. {@code serving}: false from the start of the shutdown on; {@code finishing}:
+ * whether connections are to end after their present requests; {@code lastUs}: no request may last beyond it.
+ */
 public record Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-                      Semaphore room, Semaphore largeRoom, Set<String> inWork, Counts counts,
-                      BooleanSupplier serving) {
+                      Semaphore room, Semaphore largeRoom, Ids ids, Counts counts, BooleanSupplier serving,
+                      BooleanSupplier finishing, LongSupplier lastUs) {
     /** Bodies above this length are few, and so many at once fit the heap. */
     static final int LARGE = 8 * 1024;
     private static final int LARGE_AT_ONCE = 48;
 
-    /** {@code serving}: false from the start of the shutdown on. */
+    /** With empty counts and all room free. */
     public Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-            BooleanSupplier serving) {
+            BooleanSupplier serving, BooleanSupplier finishing, LongSupplier lastUs) {
         this(config, dispatcher, branches, transactions, new Semaphore(config.sizes().transactions()),
-            new Semaphore(LARGE_AT_ONCE), ConcurrentHashMap.newKeySet(), new Counts(), serving);
+            new Semaphore(LARGE_AT_ONCE), new Ids(config.times().longestMs()), new Counts(), serving,
+            finishing, lastUs);
     }
 }
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -34,9 +34,13 @@
      * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code
      * idleLinks}: pooled worker connections.
      */
-    public record Sizes(int transactions, int legs, int idleLinks) { }
+    public record Sizes(int transactions, int legs, int idleLinks, int probes) { }
 
-    /** Time limits in milliseconds that are not the module's. */
+    /**
+     * Time limits in milliseconds that are not the module's. {@code legReadMs}: for a whole request, the
+     * first one from connecting on; {@code acceptMs} and {@code holdMs}: how long after SIGTERM connections
+     * are still accepted, and open ones still served.
+     */
     public record Times(long dialMs, long probeMs, long linkIdleMs, long legIdleMs, long legReadMs,
-                        long watchSilenceMs, long longestMs, long acceptMs) { }
+                        long watchSilenceMs, long longestMs, long acceptMs, long holdMs) { }
 }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -22,7 +22,11 @@
 public final class ConfigReader {
     private static final Set<String> EFFECTS = Set.of("read_like", "idempotency_key", "non_idempotent");
     private static final List<String> ABOVE_ZERO = List.of("aimMs", "deadlineMs");
-    private static final int DESCRIPTORS_KEPT = 96;              // the JVM's files, discovery, probes
+    private static final int LEAST_SOCKETS = 160;
+    /** The JVM's own and the heap that {@code run} allows; then what a thread was seen to cost. */
+    private static final double MEMORY_KEPT_MB = 84;
+    private static final double LEAST_MEMORY_MB = 90;
+    private static final double THREAD_KB = 125;
 
     private final Map<String, String> flat = new HashMap<>();    // the settings by path
 
@@ -73,29 +77,34 @@
         Dispatch.Settings settings = settings();
         JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
         int sockets = (int) number(limits, "limits.", "sockets", 1024);
-        number(limits, "limits.", "memory_mb", 192);
-        if (sockets < DESCRIPTORS_KEPT + 64) {
-            throw new ConfigError("limits.sockets", "at least " + (DESCRIPTORS_KEPT + 64) + " are needed");
+        double memoryMb = number(limits, "limits.", "memory_mb", 192);
+        if (sockets < LEAST_SOCKETS) {
+            throw new ConfigError("limits.sockets", "at least " + LEAST_SOCKETS + " are needed");
         }
         return new Config(string(root, env, "name", "BALANCER_NAME"),
             address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"),
             address(string(root, env, "discovery", "BALANCER_DISCOVERY"), "discovery"),
-            seed(root), settings, names, sizes(sockets - DESCRIPTORS_KEPT), times(settings),
+            seed(root), settings, names, sizes(sockets, Math.max(memoryMb, LEAST_MEMORY_MB)), times(settings),
             known(root, names));
     }
 
-    /** The memory's share is set by the start command: the counts here are what its stacks were sized for. */
-    private static Config.Sizes sizes(int descriptors) {
-        int transactions = Math.min(160, descriptors * 2 / 8);
-        return new Config.Sizes(transactions, Math.min(240, descriptors * 3 / 8),
-            Math.min(128, descriptors / 8));
+    /**
+     * Every client connection costs a descriptor and a thread, every transaction in work one more of each. A
+     * third of the descriptors is for clients with requests, an eighth for those that have brought none yet,
+     * a third for branches; threads get the memory that {@code run} leaves to them.
+     */
+    private static Config.Sizes sizes(int sockets, double memoryMb) {
+        int threads = (int) ((memoryMb - MEMORY_KEPT_MB) * 1024 / THREAD_KB);
+        int transactions = Math.min(256, Math.min(sockets / 3, threads * 2 / 5));
+        return new Config.Sizes(transactions, transactions + Math.min(sockets / 8, threads / 5),
+            sockets / 12, Math.min(32, sockets / 24));
     }
 
     private static Config.Times times(Dispatch.Settings set) {
         double longest = set.classes().stream().mapToDouble(Dispatch.ClassSpec::deadlineMs).max().orElse(0);
         double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
         return new Config.Times(Math.max(1, Math.round(set.permissions().dialTimeoutMs())), 1000, (long) idle,
-            60_000, 10_000, 5_000, (long) Math.max(3000, longest), 500);
+            60_000, 2_500, 5_000, (long) Math.max(3000, longest), 500, 3_000);
     }
 
     // ------------------------------------------------------------ settings
--- a/src/main/java/maplespread/http/HttpConnection.java
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -38,6 +38,15 @@
         return buffer;
     }
 
+    /** Whether bytes have come that nobody has read yet; asks the system, so other threads may ask too. */
+    public boolean pending() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;                                        // it has ended
+        }
+    }
+
     /** Waits for more bytes; false when the peer has ended its sending. */
     public boolean fill(long limitMs) throws IOException {
         if (buffer.hasRemaining()) {
@@ -54,9 +63,16 @@
 
     /** Reads until the message is whole; the limit is on all of it. */
     public void receive(HttpParser parser, long limitMs) throws IOException {
-        long end = System.nanoTime() + limitMs * 1_000_000;
-        while (!parser.feed(buffer)) {
-            long left = (end - System.nanoTime()) / 1_000_000;
+        receiveBy(parser, System.nanoTime() + limitMs * 1_000_000, false);
+    }
+
+    /**
+     * Reads until the message, or only its head, is whole. The time is on the whole of it: guards against
+     * peers that send a byte now and then.
+     */
+    public void receiveBy(HttpParser parser, long endNanos, boolean headOnly) throws IOException {
+        while (!parser.feed(buffer) && !(headOnly && parser.headDone())) {
+            long left = (endNanos - System.nanoTime()) / 1_000_000;
             if (left <= 0) {
                 throw new SocketTimeoutException("message not whole in time");
             }
--- a/src/main/java/maplespread/http/HttpWriter.java
+++ b/src/main/java/maplespread/http/HttpWriter.java
@@ -47,6 +47,7 @@
             case 408 -> "Request Timeout";
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
+            case 414 -> "URI Too Long";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
             case 502 -> "Bad Gateway";
--- a/src/test/java/maplespread/config/ConfigReaderTest.java
+++ b/src/test/java/maplespread/config/ConfigReaderTest.java
@@ -26,8 +26,16 @@
         assertEquals(2.5, c.settings().classes().get(1).stretch(), 0);
         assertEquals("clients are told when to come back", 2000, c.settings().permissions().maxPauseMs(), 0);
         assertTrue("idle links end well before the worker's limit", c.times().linkIdleMs() <= 20_000);
-        Config.Sizes s = c.sizes();
-        assertTrue("descriptors", s.legs() + s.transactions() + s.idleLinks() < 1024 - 200);
+        assertTrue("what cannot be read is closed within 3 s", c.times().legReadMs() < 3000);
+        String[][] limits = {{"192", "1024"}, {"144", "384"}, {"96", "256"}, {"32", "160"}};
+        for (String[] l : limits) {
+            Config.Sizes z = ConfigReader.read(example().replace("192", l[0]).replace("1024", l[1]), Map.of())
+                .sizes();
+            assertTrue("descriptors of " + l[1], z.legs() + z.transactions() + z.idleLinks() + z.probes()
+                < Integer.parseInt(l[1]) - 24);
+            assertTrue("threads in " + l[0], z.transactions() > 8
+                && (z.legs() + z.transactions()) * 0.122 < Math.max(90, Integer.parseInt(l[0])) - 84);
+        }
     }
 
     /** Guards against a start with a wrong value: the message names its key. */
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -1,5 +1,6 @@
 package maplespread.net;
 
+import static java.util.stream.Collectors.joining;
 import static maplespread.net.Loopback.job;
 import static maplespread.net.Loopback.list;
 import static maplespread.net.Loopback.until;
@@ -9,6 +10,8 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import maplespread.Lifecycle.Phase;
@@ -35,6 +38,8 @@
                 Call seen = worker.next();
                 assertEquals("POST /page/x?y=1 body", seen.head.method() + ' ' + seen.head.target() + ' '
                     + seen.body);
+                assertEquals("no header of the client's own", "Host X-Txn X-Remaining-Ms X-Lane X-Org "
+                    + "Content-Length", seen.head.fields().stream().map(f -> f[0]).collect(joining(" ")));
                 int left = Integer.parseInt(seen.head.get("X-Remaining-Ms"));
                 assertTrue("what is left is told: " + left, left > 0 && left < 4000);
             }
@@ -179,9 +184,7 @@
     /** Guards against a watch that stands open and says nothing while workers drain. */
     @Test public void aSilentWatchIsGivenUp() throws Exception {
         try (Peer worker = new Peer(DONE);
-             Loopback here = new Loopback(c -> new Config(c.name(), c.listen(), c.discovery(), c.seed(),
-                 c.settings(), c.names(), c.sizes(), new Config.Times(250, 1000, 9000, 9000, 9000, 100, 5000,
-                     50), c.known()), worker)) {
+             Loopback here = new Loopback(c -> timed(c, 9000, 100, 100), worker)) {
             here.discovery.next();
             here.discovery.next();                               // asked for anew, though nothing broke
         }
@@ -266,15 +269,128 @@
         }
     }
 
-    /** Guards taken work at a planned restart: it is finished, and clients are told to go elsewhere. */
-    @Test public void aStopFinishesWhatWasTaken() throws Exception {
+    /** Guards the places: not even a byte now and then keeps one for longer than a whole request may take. */
+    @Test public void whatIsNotWholeInTimeIsAnsweredOrClosed() throws Exception {
+        try (Peer worker = new Peer(DONE);
+             Loopback here = new Loopback(c -> timed(c, 150, 5000, 100), worker)) {
+            try (Client silent = here.new Client()) {
+                assertFalse("closed", silent.link.fill(Loopback.LIMIT_MS));
+            }
+            String job = job("page", "t", 4000);
+            for (String part : new String[] {job.substring(0, 9), job.substring(0, job.length() - 1)}) {
+                try (Client half = here.new Client()) {
+                    assertEquals(408, half.status(part));
+                }
+            }
+            try (Client drip = here.new Client()) {
+                Loopback.daemon(() -> {
+                    for (int i = 0; i < 1000; i++) {
+                        drip.send(i == 0 ? job.substring(0, 9) : "/");
+                        Thread.sleep(10);
+                    }
+                });
+                assertEquals(408, drip.answer().head.status());
+            }
+            assertEquals(0, worker.calls.size());
+        }
+    }
+
+    /** Guards usual clients against crowds that connect, or ask once, and stay: the silent are shed first. */
+    @Test public void aSilentCrowdTakesNoPlaceFromUsefulClients() throws Exception {
+        List<Client> crowd = new ArrayList<>();
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(c -> sized(c, 9, 4), worker);
+             Client useful = here.new Client()) {
+            assertEquals(200, useful.status(job("page", "a", 4000)));
+            for (int i = 0; i < 8; i++) {
+                crowd.add(here.new Client());
+                crowd.get(i).send(i % 2 == 0 ? "" : "GET /nothing HTTP/1.1\r\nHost: t\r\n\r\n");
+            }
+            try (Client fresh = here.new Client()) {
+                assertEquals(200, fresh.status(job("page", "b", 4000)));
+            }
+            assertEquals("its connection lives", 200, useful.status(job("page", "c", 4000)));
+        } finally {
+            crowd.forEach(Client::close);
+        }
+    }
+
+    /** Guards a request against a rival under its id, while it is in work and when it has just ended. */
+    @Test public void aRivalUnderAnotherClientsIdNeitherHurtsNorAnswersIt() throws Exception {
         try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker);
-             Client waiting = here.new Client(); Client late = here.new Client()) {
-            waiting.send(job("page", "t", 4000));
+             Client client = here.new Client(); Client rival = here.new Client()) {
+            client.send(job("order", "t", 4000));
             Call held = worker.next();
+            assertEquals(409, rival.status(job("order", "t", 4000)));
+            held.open();
+            held.done("ok");
+            assertEquals("ok", client.answer().body);
+            assertEquals(409, rival.status(job("page", "t", 4000)));
+            assertEquals(0, worker.calls.size());
+        }
+    }
+
+    /** Guards against requests of another length than stated, and floods: no byte beyond one is trusted. */
+    @Test public void bytesBeyondARequestEndItsConnection() throws Exception {
+        try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker)) {
+            String job = job("page", "t", 4000);
+            for (String early : new String[] {"x", job, "GET /ready HTTP/1.1\r\nHost: t\r\n\r\n"}) {
+                try (Client client = here.new Client()) {
+                    assertEquals(400, client.status(job + early));
+                    assertFalse(client.link.fill(Loopback.LIMIT_MS));
+                }
+            }
+            assertEquals(0, worker.calls.size());
+            try (Client client = here.new Client()) {
+                client.send(job);
+                worker.next();
+                assertEquals("also while it is in work", 400, client.status("x"));
+            }
+            worker.script = DONE;
+            try (Client client = here.new Client()) {
+                assertEquals("an empty line is no request", 200, client.status(job("page", "u", 4000)
+                    + "\r\n"));
+            }
+        }
+    }
+
+    /** Guards against clients that send the same again as soon as it is turned away. */
+    @Test public void faultsInARowEndTheConnection() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(worker);
+             Client client = here.new Client()) {
+            for (int i = 1; i <= 4; i++) {
+                Call answer = client.send("GET /nothing HTTP/1.1\r\nHost: t\r\n\r\n").answer();
+                assertEquals(404, answer.head.status());
+                assertEquals("kept at " + i, i < 4, answer.head.keepsAlive());
+            }
+        }
+    }
+
+    /**
+     * Guards clients and taken work at a planned restart: nothing new is let in, open connections are served
+     * on for a while, what was taken is finished, and only then are clients told to go elsewhere.
+     */
+    @Test public void aStopServesOpenConnectionsOnAndFinishesWhatWasTaken() throws Exception {
+        try (Peer worker = new Peer(DONE);
+             Loopback here = new Loopback(c -> timed(c, 2500, 5000, 1500), worker);
+             Client waiting = here.new Client(); Client late = here.new Client()) {
             Loopback.daemon(here.server::stop);
             here.server.lifecycle().await(Phase.DRAINING);
-            assertEquals("still accepting, no longer ready", 503, ready(late));
+            assertEquals("no longer ready", 503, ready(late));
+            until("nobody new is let in", () -> {
+                try {
+                    here.new Client().close();
+                    return false;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+            Call served = late.send(job("page", "t", 4000)).answer();
+            assertEquals(200, served.head.status());
+            assertTrue("served on", served.head.keepsAlive());
+            worker.next();
+            worker.script = call -> { };
+            waiting.send(job("page", "u", 4000));
+            Call held = worker.next();
             here.server.lifecycle().await(Phase.FINISHING);
             assertEquals(Phase.FINISHING, here.server.lifecycle().phase());
             held.open();
@@ -301,6 +417,11 @@
 
     private static Config sized(Config c, int transactions, int legs) {
         return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(),
-            new Config.Sizes(transactions, legs, 8), c.times(), c.known());
+            new Config.Sizes(transactions, legs, 8, 8), c.times(), c.known());
+    }
+
+    private static Config timed(Config c, long legReadMs, long watchSilenceMs, long holdMs) {
+        return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(), c.sizes(),
+            new Config.Times(250, 1000, 9000, 9000, legReadMs, watchSilenceMs, 5000, 50, holdMs), c.known());
     }
 }
