Answer everything before the kill that may follow SIGTERM

At fault: ConfigReader.times took the wait before SIGKILL for the longest deadline, or 3 s where that is shorter; the protocol caps it at 3 s. So Server.stop held open connections for 3 s and waited up to 6.4 s while the process may be killed at 3.7 s.

Now open connections are served for 2 s, deadlines after SIGTERM end 0.1 s before 3.5 s, and what is left then is answered as failed.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -34,7 +34,7 @@
     private static final int SPARE_LEGS = 16;
     private static final long SWEEP_MS = 1000;
     private static final long COUNT_MS = 10_000;
-    private static final long END_MS = 400;                      // beyond the longest deadline
+    private static final long LAST_MS = 100;                     // for the last answers' way
 
     /** Where a new configuration comes from. */
     public interface Source {
@@ -140,8 +140,8 @@
     /**
      * Ends in order: accepts a while longer, since clients are sent here until the front has noticed; serves
      * the open connections a while beyond that, since their clients use them as long as they stay open and
-     * another dispatcher may be restarting too; then finishes all that was taken. Returns once that is done
-     * or the longest deadline has passed.
+     * another dispatcher may be restarting too; then finishes all that was taken. What is left shortly before
+     * the process may be killed is answered as failed: cut off, its clients would wait for nothing.
      */
     public void stop() {
         if (!lifecycle.enter(Lifecycle.Phase.DRAINING)) {
@@ -154,8 +154,8 @@
         try {
             long ms = 1_000_000;
             long start = System.nanoTime();
-            long end = start + (config.times().longestMs() + END_MS) * ms;
-            lastUs = dispatcher.nowUs() + (config.times().longestMs() + END_MS / 2) * 1000;
+            long end = start + config.times().endMs() * ms;
+            lastUs = dispatcher.nowUs() + (config.times().endMs() - LAST_MS) * 1000;
             Thread.sleep(config.times().acceptMs());
             listener.close();
             while (listener.size() > 0 && System.nanoTime() - start < config.times().holdMs() * ms) {
@@ -165,6 +165,7 @@
             while ((listener.endIdle() > 0 || !listener.closed()) && System.nanoTime() < end) {
                 Thread.sleep(10);
             }
+            listener.failAll();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -87,6 +87,15 @@
         connection.endReading();
     }
 
+    /** Fails the request that it holds: it may have run, and its end will not be seen here. */
+    void fail() {
+        Answer now = current;
+        if (now != null && !now.given()) {
+            service.counts().failed.increment();
+            now.failed(502, "the dispatcher ends");
+        }
+    }
+
     /** Refuses whatever it brings, unread: for when no thread is left that could read it. */
     void refuse() {
         service.counts().busy.increment();
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -144,6 +144,11 @@
         return legs.size();
     }
 
+    /** Answers what is still in work as failed. */
+    public void failAll() {
+        legs.forEach(CallerLeg::fail);
+    }
+
     private static void pause(long ms) {
         try {
             Thread.sleep(ms);
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -104,7 +104,7 @@
         double longest = set.classes().stream().mapToDouble(Dispatch.ClassSpec::deadlineMs).max().orElse(0);
         double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
         return new Config.Times(Math.max(1, Math.round(set.permissions().dialTimeoutMs())), 1000, (long) idle,
-            60_000, 2_500, 5_000, (long) Math.max(3000, longest), 500, 3_000);
+            60_000, 2_500, 5_000, (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
     }
 
     // ------------------------------------------------------------ settings
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -184,7 +184,7 @@
     /** Guards against a watch that stands open and says nothing while workers drain. */
     @Test public void aSilentWatchIsGivenUp() throws Exception {
         try (Peer worker = new Peer(DONE);
-             Loopback here = new Loopback(c -> timed(c, 9000, 100, 100), worker)) {
+             Loopback here = new Loopback(c -> timed(c, 9000, 100, 100, 5000), worker)) {
             here.discovery.next();
             here.discovery.next();                               // asked for anew, though nothing broke
         }
@@ -272,7 +272,7 @@
     /** Guards the places: not even a byte now and then keeps one for longer than a whole request may take. */
     @Test public void whatIsNotWholeInTimeIsAnsweredOrClosed() throws Exception {
         try (Peer worker = new Peer(DONE);
-             Loopback here = new Loopback(c -> timed(c, 150, 5000, 100), worker)) {
+             Loopback here = new Loopback(c -> timed(c, 150, 5000, 100, 5000), worker)) {
             try (Client silent = here.new Client()) {
                 assertFalse("closed", silent.link.fill(Loopback.LIMIT_MS));
             }
@@ -371,7 +371,7 @@
      */
     @Test public void aStopServesOpenConnectionsOnAndFinishesWhatWasTaken() throws Exception {
         try (Peer worker = new Peer(DONE);
-             Loopback here = new Loopback(c -> timed(c, 2500, 5000, 1500), worker);
+             Loopback here = new Loopback(c -> timed(c, 2500, 5000, 1500, 5000), worker);
              Client waiting = here.new Client(); Client late = here.new Client()) {
             Loopback.daemon(here.server::stop);
             here.server.lifecycle().await(Phase.DRAINING);
@@ -403,6 +403,23 @@
         }
     }
 
+    /** Guards against the kill that follows SIGTERM: by then all have their answers, whatever they wait for. */
+    @Test public void aStopAnswersAllBeforeTheProcessMayBeKilled() throws Exception {
+        try (Peer worker = new Peer(call -> { });
+             Loopback here = new Loopback(c -> timed(c, 2500, 5000, 200, 400), worker);
+             Client before = here.new Client(); Client after = here.new Client()) {
+            before.send(job("order", "t", 5000));
+            worker.next();
+            Loopback.daemon(here.server::stop);
+            here.server.lifecycle().await(Phase.DRAINING);
+            long start = System.nanoTime();
+            assertEquals(502, after.status(job("order", "u", 5000)));
+            assertEquals(502, before.answer().head.status());
+            assertTrue("in time", System.nanoTime() - start < 3_000_000_000L);
+            here.server.lifecycle().await(Phase.STOPPED);
+        }
+    }
+
     private static int ready(Client client) {
         return status(client, "GET /ready HTTP/1.1\r\nHost: t\r\n\r\n");
     }
@@ -420,8 +437,9 @@
             new Config.Sizes(transactions, legs, 8, 8), c.times(), c.known());
     }
 
-    private static Config timed(Config c, long legReadMs, long watchSilenceMs, long holdMs) {
+    private static Config timed(Config c, long legReadMs, long silenceMs, long holdMs, long endMs) {
         return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(), c.sizes(),
-            new Config.Times(250, 1000, 9000, 9000, legReadMs, watchSilenceMs, 5000, 50, holdMs), c.known());
+            new Config.Times(250, 1000, 9000, 9000, legReadMs, silenceMs, 5000, 50, holdMs, endMs),
+            c.known());
     }
 }
