--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -403,7 +403,7 @@
         }
     }
 
-    /** Guards against the kill that follows SIGTERM: by then all have their answers, whatever they wait for. */
+    /** Guards against the kill that follows SIGTERM: by then all have their answers, in work or not. */
     @Test public void aStopAnswersAllBeforeTheProcessMayBeKilled() throws Exception {
         try (Peer worker = new Peer(call -> { });
              Loopback here = new Loopback(c -> timed(c, 2500, 5000, 200, 400), worker);
