Judge broken and silent worker connections as such, not as restarts and queues

One reset had the module take the worker for restarted, so cold, at 12% of its capacity for 24 s (Logic.unconnected). Ruled out: CPU, memory, descriptors, the list; the workers' queues.

Now a broken connection has the worker probed at once, and only a failure counts; a kept one that breaks before a byte came tells nothing (CUT). Kept connections are looked at before each use, trusted for as long as they have held, and not used for orders while they break.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -66,7 +66,7 @@
         probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed());
         links = new Links(config);
-        branches = new Branches(links, dispatcher);
+        branches = new Branches(config, links, dispatcher);
         prober = new Prober(config, links, dispatcher);
         routeSet = new RouteSet(config.discovery(),
             new RouteReader(config.names().zones(), config.names().kinds()), config.known().generation(),
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -37,11 +37,12 @@
     public record Sizes(int transactions, int legs, int idleLinks, int probes) { }
 
     /**
-     * Time limits in milliseconds that are not the module's. {@code legReadMs}: for a whole request, the
+     * Time limits in milliseconds that are not the module's. {@code firstByteMs}: for a worker to say that it
+     * has taken a job; {@code legReadMs}: for a whole request, the
      * first one from connecting on; {@code acceptMs} and {@code holdMs}: how long after SIGTERM connections
      * are still accepted, and open ones still served; {@code endMs}: when all must be answered and over.
      */
-    public record Times(long dialMs, long probeMs, long linkIdleMs, long legIdleMs, long legReadMs,
-                        long watchSilenceMs, long longestMs, long acceptMs, long holdMs,
+    public record Times(long dialMs, long firstByteMs, long probeMs, long linkIdleMs, long legIdleMs,
+                        long legReadMs, long watchSilenceMs, long longestMs, long acceptMs, long holdMs,
                         long endMs) { }
 }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -103,8 +103,9 @@
     private static Config.Times times(Dispatch.Settings set) {
         double longest = set.classes().stream().mapToDouble(Dispatch.ClassSpec::deadlineMs).max().orElse(0);
         double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
-        return new Config.Times(Math.max(1, Math.round(set.permissions().dialTimeoutMs())), 1000, (long) idle,
-            60_000, 2_500, 5_000, (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
+        long dial = Math.max(1, Math.round(set.permissions().dialTimeoutMs()));
+        return new Config.Times(dial, Math.max(500, 2 * dial), 1000, (long) idle, 60_000, 2_500, 5_000,
+            (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
     }
 
     // ------------------------------------------------------------ settings
@@ -193,9 +194,8 @@
     }
 
     private Dispatch.Settings settings() throws ConfigError {
-        // Real clients may always be told when to come back; dispatchers have no way to talk to each other.
+        // Real clients may always be told when to come back.
         flat.put("permissions.retryAfter", "true");
-        flat.put("permissions.peers", "false");
         try {
             return Facts.read(flat);
         } catch (IllegalArgumentException e) {
--- a/src/main/java/maplespread/config/Facts.java
+++ b/src/main/java/maplespread/config/Facts.java
@@ -28,7 +28,7 @@
             tenants.add(new Dispatch.Tenant(num("customers." + i + ".allowancePerS", 0)));
         }
         boolean pause = is("permissions.retryAfter");
-        var allow = new Dispatch.Permissions(is("permissions.cancel"), is("permissions.peers"),
+        var allow = new Dispatch.Permissions(is("permissions.cancel"),
             is("permissions.probing"), is("permissions.secondCopies"), (int) num("permissions.tryLimit",
                 1),
             num("permissions.dialTimeoutMs", 250), pause ? num("permissions.maxRetryAfterMs", 0) : 0,
@@ -39,7 +39,8 @@
         return new Dispatch.Settings((int) num("balancers", 1), (int) num("index", 0), (int) num("zone",
             0),
             text("discovery", "push").equals("ask"), text("valueBy", "request").equals("work"),
-            is("domain.tellsStart"), num("domain.progressMs", 0), num("tickMs", 1),
+            is("domain.tellsStart"), num("domain.progressMs", 0),
+            text("domain.queueOrder", "").equals("fifo"), num("tickMs", 1),
                 num("overShareWorth", 1),
             num("penalties.crossZone", 0), classes, tenants, allow, rules);
     }
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -29,9 +29,13 @@
      */
     public enum ListKind { CHANGES, FULL, HELD }
 
-    /** How an attempt or probe ended. FULL, NO_CONNECTION and MOOT prove that it never ran. */
+    /**
+     * How an attempt or probe ended. FULL, NO_CONNECTION and MOOT prove that it never ran. CUT is a RESET of
+     * a connection kept from before, on which the worker had not said anything: it tells nothing of the
+     * worker.
+     */
     public enum Verdict {
-        OK, ERROR, FULL, TIMEOUT, NO_CONNECTION, RESET, CANCELLED, MOOT;
+        OK, ERROR, FULL, TIMEOUT, NO_CONNECTION, RESET, CANCELLED, MOOT, CUT;
 
         /** Whether this outcome proves that the attempt never ran. */
         public boolean neverRan() {
@@ -66,7 +70,7 @@
      * What the site allows. {@code tryLimit} counts attempts; {@code maxPauseMs} is 0 where advice is not
      * given; an idle connection closes after {@code connIdleMs}.
      */
-    public record Permissions(boolean cancel, boolean peers, boolean probing, boolean secondCopies,
+    public record Permissions(boolean cancel, boolean probing, boolean secondCopies,
             int tryLimit, double dialTimeoutMs, double maxPauseMs, double connIdleMs) {
         public Permissions {
             need(tryLimit >= 1, "tryLimit must be at least 1");
@@ -88,11 +92,13 @@
      * The settings of a node. {@code balancers}: nodes in the tier; {@code zone}: this node's zone; {@code
      * ask}: the list comes only when asked for; {@code byWork}: worth counts per unit of work; {@code
      * tellsStart} and {@code progressMs}: which notes workers send (0: no progress notes); {@code
+     * inOrder}: workers start waiting jobs in the order in which they came; {@code
      * overShare}: worth of a request beyond its tenant's share; {@code crossZone}: price of a send to
      * another zone, as a share of a request.
      */
     public record Settings(int balancers, int index, int zone, boolean ask, boolean byWork,
-            boolean tellsStart, double progressMs, double tickMs, double overShare, double crossZone,
+            boolean tellsStart, double progressMs, boolean inOrder, double tickMs, double overShare,
+            double crossZone,
             List<ClassSpec> classes, List<Tenant> tenants, Permissions permissions, Rules rules) {
         public Settings {
             need(balancers >= 1, "balancers must be at least 1");
@@ -163,9 +169,6 @@
 
         /** A probe ended. {@code report} may be null. */
         void probed(long nowUs, String worker, Verdict verdict, double lagMs, Report report);
-
-        /** Another node of the tier sent this. */
-        void peer(long nowUs, int from, byte[] message);
     }
 
     /** What a node tells its host. None of these calls may call back into the node. */
@@ -185,9 +188,6 @@
         /** Probe a worker. */
         void probe(String worker);
 
-        /** Send bytes (256 at most) to node {@code to}, or to all others with -1. */
-        void tell(int to, byte[] message);
-
         /** Subscribe to the list. */
         void watch();
 
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -97,7 +97,7 @@
         scan();
         offered(q);
         place(q);
-        if (allow.probing() && !allow.peers() && set.balancers() > 1 && q.rounds == 0) {
+        if (allow.probing() && set.balancers() > 1 && q.rounds == 0) {
             workers.stream().filter(w -> !w.down && now - w.reportAt > aim)      // without looks: the stalest
                 .min(Comparator.comparingDouble(w -> w.reportAt)).ifPresent(this::probe);
         }
@@ -169,8 +169,11 @@
             w.carried(!w.connected());
             w.refresh();
             if (w.down) {
-                w.down = false;
-                w.cold(now);
+                w.alive();
+                w.tryAt = now;
+                if (now - w.lostAt > aim) {                      // long enough to have started anew
+                    w.cold(now);
+                }
             }
         }
         for (Req q : List.copyOf(looks)) {
@@ -180,13 +183,6 @@
         }
     }
 
-    @Override public void peer(long nowUs, int from, byte[] message) {
-        at(nowUs);
-        if (from >= 0 && from < set.balancers()) {
-            words.hear(from, message, now, meanAll());
-        }
-    }
-
     private void at(long nowUs) {
         Dispatch.need(nowUs / 1000.0 >= now, "time ran backwards");
         now = nowUs / 1000.0;
@@ -240,7 +236,6 @@
     private final class Worker {
         final String id;
         final double[] bad = new double[mean.length], badAt = new double[mean.length];  // by class
-        final double[] peers;                                    // others' work here by the peers' words
         final List<Attempt> held = new ArrayList<>();            // sent from here, outcome not yet seen
         Kind kind;
         Health health;
@@ -252,7 +247,7 @@
         double work, time, learnAt, slots;                      // done work, the time it took, forgetting
         double service = Double.NaN;                             // its last reported service time
         double speed = 1, cap = 1, extra, u;                     // core speed, c, unseen work, u: refreshed
-        double reportAt = Double.NEGATIVE_INFINITY, tryAt, lostAt;
+        double reportAt = Double.NEGATIVE_INFINITY, tryAt, lostAt, aliveAt;
         double inUse;                                            // slots of the held jobs
         double saved, savedAt, fullAt;                           // of its share of the cold budget
         double logHint, logRun, runs;                            // recent means, see compare
@@ -263,7 +258,6 @@
         Worker(String id) {
             this.id = id;
             idHash = hash(id);
-            peers = words.sum(id);
         }
 
         /** Brings speed, c and the unseen work up to date, when looked at and at its events. */
@@ -290,7 +284,8 @@
         double outwaited() {
             double over = 0;
             for (Attempt a : held) {
-                over = Double.isNaN(a.startAt) ? Math.max(over, now - aim / 8 - a.sentAt - a.wait) : over;
+                double wait = Double.isNaN(a.startAt) && !a.lost ? now - aim / 8 - a.sentAt - a.wait : 0;
+                over = Math.max(over, wait);
             }
             return set.tellsStart() ? over : 0;
         }
@@ -320,20 +315,15 @@
         }
 
         /**
-         * Departure "unseen": others' work in hand by the peers' words or the reports, whichever is fresher;
-         * news fades over two mean jobs. What is too old to know is drawn anew about the fleet's mean: with
-         * the mean itself all nodes would agree on the same fast workers and rush them together. Can harm
-         * where nodes differ much in size: a small node then sees more of the load than a large one.
+         * Departure "unseen": others' work in hand by the reports; news fades over two mean jobs. What is too
+         * old to know is drawn anew about the fleet's mean: with the mean itself all nodes would agree on the
+         * same fast workers and rush them together. Can harm where nodes differ much in size: a small node
+         * then sees more of the load than a large one.
          */
         double foreignWork() {
             double keep = fade((now - foreignAt) * speed / (2 * meanAll()));
-            double known = foreign * meanAll() * keep, typical = kind.unseen;
-            if (peerNews > keep) {
-                keep = peerNews;
-                known = peers[0];
-                typical = words.typical() * (set.balancers() - 1) / Math.max(totalC, cap);
-            }
-            return set.balancers() == 1 ? known : known + (1 - keep) * typical * cap * draw(random);
+            double known = foreign * meanAll() * keep;
+            return set.balancers() == 1 ? known : known + (1 - keep) * kind.unseen * cap * draw(random);
         }
 
         void report(Report r) {
@@ -366,6 +356,22 @@
             }
         }
 
+        /**
+         * Workers start in order: what was sent well before a job that has started must have started too.
+         * That nothing was heard of it tells of its connection, not of a queue or of a worker that stands
+         * still; where a repeat is harmless, it is called off and placed anew.
+         */
+        void outrun(Attempt a) {
+            for (Attempt b : set.inOrder() ? List.copyOf(held) : List.<Attempt>of()) {
+                if (Double.isNaN(b.startAt) && !b.lost && a.sentAt - b.sentAt > aim / 2) {
+                    b.lost = true;
+                    if (allow.cancel() && b.req.spec.effect() == Effect.READ_LIKE && !b.req.ended) {
+                        actions.cancel(b.req.id, b.req.attempts.indexOf(b));
+                    }
+                }
+            }
+        }
+
         void seeSlots(double s) {
             slots = slots > 0 ? slots + 0.1 * (s - slots) : Math.max(1, s);
             kind.slots = kind.slots > 0 ? kind.slots + 0.05 * (s - kind.slots) : Math.max(1, s);
@@ -375,6 +381,7 @@
         void ran(Attempt a, double share) {
             if (Double.isNaN(a.startAt)) {
                 a.startAt = now;
+                outrun(a);
                 double running = held.stream().filter(b -> !Double.isNaN(b.startAt))
                     .mapToDouble(b -> b.req.slots).sum();
                 slots = running > slots() ? running : slots;
@@ -416,7 +423,7 @@
             }
             double rest = a.work * (1 - a.share);
             inUse = held.isEmpty() ? 0 : inUse - a.req.slots;
-            if (!a.neverRan && v != Verdict.CANCELLED && !a.late) {
+            if (!a.neverRan && v != Verdict.CANCELLED && v != Verdict.CUT && !a.late) {
                 tried(a.req.cls, v == Verdict.OK ? 0 : 1);
             }
             own = held.isEmpty() ? 0 : Math.max(0, own - rest);
@@ -436,6 +443,11 @@
                 case NO_CONNECTION -> unconnected(lag);
                 case RESET -> unconnected(0);
                 case FULL -> rest();
+                case TIMEOUT -> {
+                    if (aliveAt < a.sentAt) {                    // it may hang, or only that connection
+                        rest();
+                    }
+                }
                 default -> { }
             }
             refresh();
@@ -458,6 +470,7 @@
         }
 
         void alive() {
+            aliveAt = now;
             fails = 0;
             down = false;
         }
@@ -512,18 +525,21 @@
         }
 
         /**
-         * No connection or a broken one: down until a probe or a trial gets through, and cold then. A slow
-         * failure to connect tells of this worker only where others can be connected to.
+         * No connection or a broken one: down until a probe or a trial gets through, which is tried at once;
+         * cold, should that take long enough for a new start. One connection that breaks is no proof of more:
+         * taken for a restart, it would cost a healthy worker's capacity. A slow failure to connect tells of
+         * this worker only where others can be connected to.
          */
         void unconnected(double lag) {
             boolean slow = lag > allow.dialTimeoutMs() / 2;
             if (!slow || dialFailures() < 0.25) {
-                if (!down) {
+                if (down || !allow.probing()) {
+                    cold(now);
+                } else {
                     lostAt = now;
-                    actions.log("no connection to " + id + ", treated as down and cold");
+                    down = true;
+                    probe(this);
                 }
-                down = allow.probing();                          // else it is tried again after a rest
-                cold(now);
             }
             rest();
             dialled(slow ? 1 : 0);
@@ -636,7 +652,7 @@
         final boolean free, dialed;                              // to a free slot; over a new connection
         final double fetch, wait;                                // both as estimated when it was sent
         double startAt = Double.NaN, noteAt, share;
-        boolean over, neverRan, late;                            // late: overdue, and counted as failed
+        boolean over, neverRan, late, lost;                      // late: counted as failed; lost: unheard of
 
         /** Time since the last note, without what the fetch is likely to have taken of it. */
         double spent() {
@@ -946,11 +962,10 @@
         actions.send(q.id, w.id);
     }
 
-    // ------------------------------------------------------------ upkeep: silence, probes, peers
+    // ------------------------------------------------------------ upkeep: silence, probes
 
     private final List<Worker> busy = new ArrayList<>();         // those that hold work from here
-    private final PeerWords words = new PeerWords();
-    private double soonest, peerNews, toldBytes, toldAt, tickAt = Double.POSITIVE_INFINITY;
+    private double soonest, tickAt = Double.POSITIVE_INFINITY;
     private double stalledAt = Double.NEGATIVE_INFINITY;         // when this node last stood still
 
     /** Brings all workers up to date: once for each look at the fleet, never by the clock alone. */
@@ -960,14 +975,12 @@
         }
         double all = 0, mine = 0, unseen = 0;
         soonest = allow.maxPauseMs();
-        words.expire(now - 2 * meanAll());                       // a word counts for two mean jobs
-        peerNews = words.known() / Math.max(1.0, set.balancers() - 1);
         for (int i = 0; i < workers.size(); i++) {
             Worker w = workers.get(i);
             w.refresh();
-            caps[i] = w.health == Health.ACTIVE ? w.cap : 0;
+            caps[i] = w.health == Health.ACTIVE && !w.down ? w.cap : 0;
             if (w.health == Health.ACTIVE) {
-                all += w.cap;
+                all += caps[i];
                 soonest = ready(w) ? Math.min(soonest, w.u) : soonest;
                 mine += w.down ? 0 : w.own;
                 unseen += w.down ? 0 : w.extra;
@@ -1005,14 +1018,6 @@
             scan();
             waiting.forEach(this::place);
         }
-        // The other nodes are told this one's backlogs, for a tenth of a full message a request at most.
-        if (allow.peers() && set.balancers() > 1 && now - toldAt >= aim && toldBytes < 24 * offers) {
-            byte[] message = PeerWords.message(busy.stream().map(w -> w.id).toList(),
-                busy.stream().map(w -> w.own / meanAll()).toList());
-            toldAt = now;
-            toldBytes += message.length * (set.balancers() - 1);
-            actions.tell(-1, message);
-        }
     }
 
     /**
--- a/src/main/java/maplespread/drill/WireAdapter.java
+++ b/src/main/java/maplespread/drill/WireAdapter.java
@@ -116,7 +116,7 @@
                 case "lapsed" -> logic.gone(now, id());
                 case "timer" -> logic.timer(now, id("label"));
                 case "health" -> logic.probed(now, text("executor"), verdict(), num("lagMs"), report(node));
-                default -> logic.peer(now, integer("from"), blob());
+                default -> { }                                   // other nodes' words are passed over
             }
         } catch (IllegalArgumentException | IllegalStateException e) {
             throw bad(e.getMessage());
@@ -246,11 +246,6 @@
             act("health_check").append(" executor=").append(worker).append('\n');
         }
 
-        @Override public void tell(int to, byte[] message) {
-            act("share").append(" addressee=").append(to).append(" blob=")
-                .append(message.length == 0 ? "-" : Base64.getEncoder().encodeToString(message)).append('\n');
-        }
-
         @Override public void watch() {
             act("observe").append(" enable=1\n");
         }
@@ -354,15 +349,6 @@
         return true;
     }
 
-    private byte[] blob() {
-        String v = text("blob");
-        try {
-            return v.equals("-") ? new byte[0] : Base64.getDecoder().decode(v);
-        } catch (IllegalArgumentException e) {
-            throw bad("not base64: blob");
-        }
-    }
-
     private Dispatch.Verdict verdict() {
         return switch (integer("verdict")) {
             case 0 -> Dispatch.Verdict.OK;
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -26,6 +26,7 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition pending = lock.newCondition();       // a chore, or an earlier timer
+    private final Dispatch.Settings settings;
     private final Logic logic;
     private final Map<Long, Transaction> open = new HashMap<>(); // until ended and no branch is out
     private final Map<String, Route> routes = new HashMap<>();
@@ -37,6 +38,7 @@
     private long timerOrder;
 
     public Dispatcher(Dispatch.Settings settings, long seed) {
+        this.settings = settings;
         logic = new Logic(settings, seed, new Actions());
     }
 
@@ -192,6 +194,11 @@
         }
     }
 
+    /** Whether it would be harmless to run the branch's job twice. */
+    public boolean repeatable(Branch b) {
+        return settings.classes().get(b.transaction().cls).effect() == Dispatch.Effect.READ_LIKE;
+    }
+
     /** Whether any worker is known that takes work. */
     public boolean canServe() {
         lock.lock();
@@ -257,6 +264,7 @@
             case RESET -> Dispatch.Verdict.RESET;
             case CANCELLED -> Dispatch.Verdict.CANCELLED;
             case NEVER_SENT -> Dispatch.Verdict.MOOT;
+            case CUT -> Dispatch.Verdict.CUT;
         };
     }
 
@@ -305,10 +313,6 @@
             chore(new Chore.Probe(worker, r == null ? "" : r.address()));
         }
 
-        @Override public void tell(int to, byte[] message) {
-            // no peers are set up here: the configuration switches these messages off
-        }
-
         @Override public void watch() {
             chore(new Chore.Watch());
         }
--- a/src/main/java/maplespread/facade/Outcome.java
+++ b/src/main/java/maplespread/facade/Outcome.java
@@ -1,4 +1,9 @@
 package maplespread.facade;
 
-/** How a branch or a probe ended. TURNED_AWAY, NOT_CONNECTED and NEVER_SENT prove that it never ran. */
-public enum Outcome { SERVED, ERROR, TURNED_AWAY, TIMED_OUT, NOT_CONNECTED, RESET, CANCELLED, NEVER_SENT }
+/**
+ * How a branch or a probe ended. TURNED_AWAY, NOT_CONNECTED and NEVER_SENT prove that it never ran. CUT: a
+ * connection kept from before was reset and had brought nothing, so it may have run, and the worker is well.
+ */
+public enum Outcome {
+    SERVED, ERROR, TURNED_AWAY, TIMED_OUT, NOT_CONNECTED, RESET, CUT, CANCELLED, NEVER_SENT
+}
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -4,6 +4,7 @@
 import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import maplespread.config.Config;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Load;
@@ -86,12 +87,14 @@
         }
     }
 
+    private final long firstByteMs;
     private final Links links;
     private final Dispatcher dispatcher;
     private final Seldom seldom = new Seldom();
     private final Map<Branch, Running> running = new ConcurrentHashMap<>();
 
-    public Branches(Links links, Dispatcher dispatcher) {
+    public Branches(Config config, Links links, Dispatcher dispatcher) {
+        firstByteMs = config.times().firstByteMs();
         this.links = links;
         this.dispatcher = dispatcher;
     }
@@ -127,7 +130,7 @@
     private Ended run(Branch branch, Message message, Running me) {
         Links.Link link;
         try {
-            link = links.get(branch.address(), Math.max(1, leftMs(branch)));
+            link = links.get(branch.address(), Math.max(1, leftMs(branch)), !dispatcher.repeatable(branch));
         } catch (IOException | IllegalArgumentException e) {
             return ended(me.cancelled() ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED);
         }
@@ -145,7 +148,8 @@
             link.connection.send(request.body(message.body()));
         } catch (IOException e) {                                // its last byte was never written
             link.connection.close();
-            return ended(Outcome.NOT_CONNECTED);
+            links.used(link, true);
+            return ended(link.kept ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED);
         }
         return answer(branch, message, me, link);
     }
@@ -154,6 +158,10 @@
         JobLines lines = new JobLines(message.id(), (started, share) ->
             dispatcher.report(branch, started, share));
         HttpParser parser = HttpParser.response(MOST_BYTES, new Lines(LONGEST_LINE, lines::line));
+        // A worker's head comes when it has taken the job, long before the job's end: without it, the
+        // connection or the worker is silent. Only what may be repeated can be given up for that.
+        long firstByteBy = dispatcher.repeatable(branch) ? now() + firstByteMs : Long.MAX_VALUE;
+        boolean heard = false;
         try {
             while (lines.outcome == null) {
                 boolean whole = parser.feed(link.connection.buffer());
@@ -168,13 +176,16 @@
                     link.connection.close();
                     return ended(Outcome.RESET);
                 }
-                long left = leftMs(branch);
+                long left = heard ? leftMs(branch) : Math.min(leftMs(branch), firstByteBy - now());
                 if (left <= 0) {
                     throw new SocketTimeoutException();
                 }
                 if (!link.connection.fill(left)) {
-                    link.connection.close();
-                    return ended(Outcome.RESET);
+                    return broke(link, heard);
+                }
+                if (!heard) {
+                    heard = true;
+                    links.used(link, false);
                 }
             }
             return new Ended(lines.outcome, lines.result, lines.load, link, parser);
@@ -183,19 +194,35 @@
             return ended(Outcome.TIMED_OUT);
         } catch (IOException e) {
             link.connection.close();
+            if (me.cancelled()) {
+                return ended(Outcome.CANCELLED);
+            }
             if (e instanceof HttpError) {
                 seldom.warn("malformed answer of worker " + branch.worker() + ": " + e.getMessage());
+                return ended(Outcome.RESET);
             }
-            return ended(me.cancelled() ? Outcome.CANCELLED : Outcome.RESET);
+            return broke(link, heard);
         }
     }
 
+    private Ended broke(Links.Link link, boolean heard) {
+        link.connection.close();
+        if (!heard) {
+            links.used(link, true);
+        }
+        return ended(link.kept && !heard ? Outcome.CUT : Outcome.RESET);
+    }
+
     /** Only a marked 503 or 504 proves that the job never ran. */
     private static Outcome refused(HttpHead head) {
         boolean away = "1".equals(head.get("X-Turned-Away"));
         return away && (head.status() == 503 || head.status() == 504) ? Outcome.TURNED_AWAY : Outcome.ERROR;
     }
 
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     private long leftMs(Branch branch) {
         return (branch.transaction().deadlineUs() - dispatcher.nowUs()) / 1000;
     }
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -17,7 +17,9 @@
     static final class Link {
         final HttpConnection connection;
         final String address;
+        boolean kept;                                            // it has carried a request before
         long idleSince;
+        long idled;                                              // for how long, before this use
 
         Link(HttpConnection connection, String address) {
             this.connection = connection;
@@ -25,20 +27,27 @@
         }
     }
 
-    private static final long QUIET_NANOS = 200_000_000L;        // idle for longer: looked at before its use
+    private static final long LEAST_IDLE_NANOS = 100_000_000L;
     private final Config config;
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private int idleCount;
+    private long idleNanos;                                      // how long an idle one is trusted
+    private double broken;                                       // share of kept ones that broke, of late
 
     public Links(Config config) {
         this.config = config;
+        idleNanos = config.times().linkIdleMs() * 1_000_000;
     }
 
-    /** An idle connection to the address, the one used last, or a new one; connects within the limit. */
-    Link get(String address, long limitMs) throws IOException {
+    /**
+     * An idle connection to the address, the one used last, or a new one; connects within the limit. {@code
+     * once}: what it is for must not run twice, so a kept one will not do while such break under requests.
+     */
+    Link get(String address, long limitMs, boolean once) throws IOException {
         Link link;
-        while ((link = takeIdle(address)) != null) {
-            if (System.nanoTime() - link.idleSince < QUIET_NANOS || !link.connection.stale()) {
+        while (!(once && distrusted()) && (link = takeIdle(address)) != null) {
+            link.idled = System.nanoTime() - link.idleSince;
+            if (link.idled < trustedNanos() && !link.connection.stale()) {
                 return link;
             }
             link.connection.close();
@@ -54,11 +63,33 @@
         return link;
     }
 
+    private synchronized boolean distrusted() {
+        return broken > 0.01;
+    }
+
+    private synchronized long trustedNanos() {
+        return idleNanos;
+    }
+
+    /**
+     * Learns from a request on a kept connection: whether it broke before a byte came back. Guards against
+     * peers, and machines between, that drop idle connections sooner than the settings say, without
+     * a word: such a request may have run. About thirty uses count; the trusted idle time grows back slowly.
+     */
+    synchronized void used(Link link, boolean broke) {
+        if (link.kept) {
+            broken = 0.97 * broken + (broke ? 0.03 : 0);
+            idleNanos = broke ? Math.max(LEAST_IDLE_NANOS, Math.min(idleNanos, link.idled / 2))
+                : Math.min(config.times().linkIdleMs() * 1_000_000, idleNanos + idleNanos / 50);
+        }
+    }
+
     /** Takes a connection back after a whole answer. */
     void release(Link link) {
         synchronized (this) {
             if (idleCount < config.sizes().idleLinks()) {
                 link.idleSince = System.nanoTime();
+                link.kept = true;
                 idle.computeIfAbsent(link.address, a -> new ArrayDeque<>()).addLast(link);
                 idleCount++;
                 return;
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -31,7 +31,7 @@
         Outcome outcome;
         Links.Link link = null;
         try {
-            link = links.get(probe.address(), config.times().dialMs());
+            link = links.get(probe.address(), config.times().dialMs(), true);
             outcome = Outcome.RESET;
             link.connection.send(HttpWriter.request("GET", "/status/load", probe.address()).bytes());
             ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/src/test/java/maplespread/decision/Host.java
+++ b/src/test/java/maplespread/decision/Host.java
@@ -46,8 +46,8 @@
     }
 
     static Settings settings(ClassSpec spec, boolean copies, int balancers) {
-        return new Settings(balancers, 0, 0, true, true, true, 1000, 2, 0.1, 0, List.of(spec), List.of(),
-            new Permissions(true, true, true, copies, 4, 250, 2000, 5000),
+        return new Settings(balancers, 0, 0, true, true, true, 1000, true, 2, 0.1, 0, List.of(spec),
+            List.of(), new Permissions(true, true, copies, 4, 250, 2000, 5000),
             new Rules(1000, 10000, 0.3, 9000, 4, 1500, 8));
     }
 
@@ -205,10 +205,6 @@
         probes.add(worker);
     }
 
-    @Override public void tell(int to, byte[] message) {
-        rule(set.permissions().peers() && message.length <= 256, "tell");
-    }
-
     @Override public void watch() {
         watches++;
     }
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -192,10 +192,14 @@
     @Test void anUnreachableWorkerRestsAndComesBackCold() {
         Host h = two();
         Host.Call c = h.take(1, 300);
+        h.mute.add("a");
         h.settle(1, Verdict.NO_CONNECTION);
         assertEquals("b", c.tries.get(1).worker);
         h.settle(1, Verdict.OK);
         assertEquals("b", h.take(2, 300).tries.get(0).worker);
+        h.pass(100);
+        h.node.probed(h.us(), "a", Verdict.NO_CONNECTION, 1, null);
+        h.mute.clear();
         h.pass(3000);
         h.take(3, 300);
         h.settle(3, Verdict.OK);
@@ -210,6 +214,38 @@
         assertTrue(sent > 0 && sent <= 4 * 0.31 * 2 * 1500, "sent " + sent);
     }
 
+    /** Guards a healthy worker against one connection that breaks: a probe at once shows that it is well. */
+    @Test void oneBrokenConnectionIsNoRestart() {
+        for (Verdict v : new Verdict[] {Verdict.RESET, Verdict.NO_CONNECTION, Verdict.CUT}) {
+            Host h = host(Effect.READ_LIKE, Group.ALL, Host.entry("a", 0, 0));
+            h.take(1, 300);
+            h.settle(1, v);
+            h.answerProbes();
+            int taken = 0;
+            for (int i = 10; i < 20; i++) {
+                taken += h.take(i, 100).tries.size();
+            }
+            assertTrue(taken > 3, "as a warm worker, not a cold one: " + taken + " after " + v);
+        }
+    }
+
+    /** Guards against connections that fall silent: a job that a later one has outrun tells of no queue. */
+    @Test void anUnheardJobThatALaterOneOutranIsPlacedAnew() {
+        Host h = two();
+        Host.Call silent = h.take(1, 300);
+        String at = silent.tries.get(0).worker;
+        h.pass(250);
+        long next = 2;
+        while (!h.take(next, 300).tries.get(0).worker.equals(at)) {
+            next++;
+        }
+        assertEquals(0, h.cancels);
+        h.node.progress(h.us(), next, 0, at, true, 0);
+        assertEquals(1, h.cancels, "its connection is dead, not the worker");
+        h.settle(1, 0, Verdict.CANCELLED);
+        assertEquals(2, silent.tries.size());
+    }
+
     /** Guards the fading of speeds: a worker once slow must be tried again after its trouble has ended. */
     @Test void aWorkerOnceSlowIsTriedAgain() {
         Host h = two();
@@ -273,6 +309,7 @@
     @Test void aResetUnderAStaleList() {
         Host h = host(Effect.KEYED, Group.CELL, Host.entry("a", 0, 0), Host.entry("b", 1, 0));
         Host.Call c = h.take(1, 300);
+        h.mute.add("a");
         h.settle(1, Verdict.RESET);
         h.node.listFailed(h.us());
         for (int i = 2; i < 5; i++) {
@@ -478,7 +515,7 @@
     @Test void aWorkerFailingOneClassKeepsTheOther() {
         ClassSpec spec = Host.clazz(Effect.READ_LIKE, Group.ALL);
         Settings one = Host.settings(spec, false, 1);
-        Host h = new Host(new Settings(1, 0, 0, true, true, true, 1000, 2, 0.1, 0, List.of(spec, spec),
+        Host h = new Host(new Settings(1, 0, 0, true, true, true, 1000, true, 2, 0.1, 0, List.of(spec, spec),
             List.of(), one.permissions(), one.rules()));
         h.list(ListKind.HELD, Host.entry("a", 0, 0), Host.entry("b", 0, 0));
         int firstAtA = 0, secondAtA = 0;
@@ -524,24 +561,6 @@
         assertTrue(sent <= 19, "sent " + sent);
     }
 
-    /** A peer's word replaces what it said before, and lapses when it falls silent. */
-    @Test void peersWordsReplaceAndLapse() {
-        PeerWords words = new PeerWords();
-        double[] sum = words.sum("a");
-        words.hear(1, PeerWords.message(List.of("a"), List.of(2.0)), 0, 100);
-        words.hear(2, PeerWords.message(List.of("a"), List.of(1.0)), 10, 100);
-        assertEquals(300, sum[0], 1e-9);
-        words.hear(1, PeerWords.message(List.of("a"), List.of(0.5)), 20, 100);
-        assertEquals(150, sum[0], 1e-9);
-        words.hear(3, new byte[] {9, 9, 9, 9}, 20, 100);
-        assertEquals(2, words.known());
-        words.expire(15);
-        assertEquals(50, sum[0], 1e-9);
-        words.expire(30);
-        assertEquals(0, sum[0], 1e-9);
-        assertEquals(0, words.known());
-    }
-
     @Test void contractBreaksAreRejectedPlainly() {
         Host h = two();
         h.take(1, 300);
@@ -553,8 +572,8 @@
         assertThrows(IllegalArgumentException.class, () -> Host.settings(Host.clazz(Effect.UNSAFE,
             Group.ALL), false, 0));
         assertThrows(IllegalArgumentException.class, () -> new Tenant(-1));
-        assertThrows(IllegalArgumentException.class, () -> new Settings(1, 0, 0, true, true, true, 0, 2, 1,
-            -0.1, h.set.classes(), List.of(), h.set.permissions(), h.set.rules()));
+        assertThrows(IllegalArgumentException.class, () -> new Settings(1, 0, 0, true, true, true, 0, true, 2,
+            1,            -0.1, h.set.classes(), List.of(), h.set.permissions(), h.set.rules()));
     }
 
     @Test void absurdNumbersNeverReachTheValueFunction() {
@@ -627,7 +646,6 @@
                     default -> {
                         h.node.progress(h.us(), 1 + random.nextLong(next), 0, w, random.nextBoolean(),
                             random.nextDouble());
-                        h.node.peer(h.us(), random.nextInt(9) - 1, new byte[] {1, 2, 3, 4, 5});
                         h.node.listFailed(h.us());
                     }
                 }
--- a/src/test/java/maplespread/drill/WireTest.java
+++ b/src/test/java/maplespread/drill/WireTest.java
@@ -37,7 +37,6 @@
             "hello\n", "mark\n", "mark tMs=abc\n", "mark tMs=1\nnonsense node=1\nyour_turn\n",
             START + "mark tMs=1001\narrival node=3 priority=0\nyour_turn\n",
             START + "mark tMs=1001\narrival node=8 call=1 priority=0 dropDeadMs=2\nyour_turn\n",
-            START + "mark tMs=1001\nnote_from node=3 from=0 blob=***\nyour_turn\n",
             START + "mark tMs=1001\nsheet setId=0 items=2\nyour_turn\n", "mark tMs=1\n",
         };
         for (String in : bad) {
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -206,7 +206,8 @@
         return "{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
             + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
             + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a'],'models':['m'],'discovery':'ask',"
-            + "'classes':[" + clazz("page", "read_like") + "," + clazz("order", "non_idempotent") + "],"
+            + "'classes':[" + clazz("page", 1000, "read_like") + ","
+            + clazz("order", 300, "non_idempotent") + "],"
             + "'customers':[{'name':'acme','allowancePerS':100}],"
             + "'domain':{'tellsStart':true,'progressMs':2000},"
             + "'permissions':{'probing':true,'tryLimit':5,'dialTimeoutMs':250,'maxRetryAfterMs':2000,"
@@ -215,8 +216,8 @@
                 .replace('\'', '"');
     }
 
-    private static String clazz(String name, String effect) {
-        return "{'name':'" + name + "','aimMs':300,'deadlineMs':5000,'effect':'" + effect
+    private static String clazz(String name, int aimMs, String effect) {
+        return "{'name':'" + name + "','aimMs':" + aimMs + ",'deadlineMs':5000,'effect':'" + effect
             + "','dedupScope':'all','worth':2}";
     }
 
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -12,10 +12,14 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import maplespread.Lifecycle.Phase;
 import maplespread.config.Config;
+import maplespread.http.HttpConnection;
 import maplespread.net.Loopback.Call;
 import maplespread.net.Loopback.Client;
 import maplespread.net.Loopback.Peer;
@@ -115,6 +119,39 @@
         }
     }
 
+    /** Guards against kept connections that break at the next request, which tells nothing of the worker. */
+    @Test public void aKeptConnectionThatBreaksCostsNeitherTheWorkerNorAnOrder() throws Exception {
+        Set<HttpConnection> used = ConcurrentHashMap.newKeySet();
+        try (Peer worker = new Peer(call -> {
+                if (used.add(call.link)) {
+                    DONE.answer(call);
+                } else {
+                    call.link.close();
+                }
+            }); Loopback here = new Loopback(worker); Client client = here.new Client()) {
+            assertEquals(200, client.status(job("page", "a", 4000)));
+            assertEquals("sent anew on a new connection", 200, client.status(job("page", "b", 4000)));
+            assertEquals(3, worker.calls.size());
+            assertEquals("not on a kept one", 200, client.status(job("order", "c", 4000)));
+            assertEquals(4, worker.calls.size());
+        }
+    }
+
+    /** Guards against connections that fall silent: where a repeat is harmless, the job goes elsewhere. */
+    @Test public void aSilentConnectionIsGivenUpForWhatMayBeRepeated() throws Exception {
+        AtomicBoolean first = new AtomicBoolean(true);
+        Loopback.Script silentAtFirst = call -> {
+            if (!first.getAndSet(false)) {
+                DONE.answer(call);
+            }
+        };
+        try (Peer one = new Peer(silentAtFirst); Peer two = new Peer(silentAtFirst);
+             Loopback here = new Loopback(one, two); Client client = here.new Client()) {
+            assertEquals(200, client.status(job("page", "t", 4000)));
+            assertEquals(2, one.calls.size() + two.calls.size());
+        }
+    }
+
     /** Guards the deadline: a worker that says nothing must not keep the client past it. */
     @Test public void aSilentWorkerIsAnsweredForAtTheDeadline() throws Exception {
         try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker);
@@ -196,7 +233,7 @@
              Loopback here = new Loopback(worker); Client waiting = here.new Client();
              Client client = here.new Client()) {
             Call old = here.discovery.next();
-            waiting.send(job("page", "held", 4000));
+            waiting.send(job("order", "held", 4000));
             Call held = worker.next();
             here.file = here.file.replace(here.discovery.address(), elsewhere.address());
             here.server.reload();
@@ -389,7 +426,7 @@
             assertTrue("served on", served.head.keepsAlive());
             worker.next();
             worker.script = call -> { };
-            waiting.send(job("page", "u", 4000));
+            waiting.send(job("order", "u", 4000));
             Call held = worker.next();
             here.server.lifecycle().await(Phase.FINISHING);
             assertEquals(Phase.FINISHING, here.server.lifecycle().phase());
@@ -439,7 +476,7 @@
 
     private static Config timed(Config c, long legReadMs, long silenceMs, long holdMs, long endMs) {
         return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(), c.sizes(),
-            new Config.Times(250, 1000, 9000, 9000, legReadMs, silenceMs, 5000, 50, holdMs, endMs),
+            new Config.Times(250, 500, 1000, 9000, 9000, legReadMs, silenceMs, 5000, 50, holdMs, endMs),
             c.known());
     }
 }
