Never hold up accepting: the longest silent leg makes room at once, some places kept

A probe in the listener: accepting took 1 to 3.4 ms each, nearly all of it waiting until the longest silent leg was 10 ms old (150 ms before), while 300 of 383 places were useful idle legs and 60 were half requests, which counted as in work. Useful clients waited for seconds in the kernel's queue behind the crowd, then had a deadline that was too late.

Now half a request holds no place (CallerLeg.current is set once it is whole), room() never waits for a leg to grow old, and an eighth of the descriptors stays for newcomers: beyond their third, useful idle legs make room.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.SynchronousQueue;
@@ -30,8 +31,9 @@
 /** One running dispatcher: puts the parts together and takes them through the phases. */
 public final class Server {
     private static final long STACK = 144 * 1024;                // times the counts in Config.Sizes
-    private static final int BACKLOG = 511;
+    private static final int BACKLOG = 2048;
     private static final int SPARE_LEGS = 16;
+    private static final int ENDING_LEGS = 64;
     private static final long SWEEP_MS = 1000;
     private static final long COUNT_MS = 10_000;
     private static final long LAST_MS = 100;                     // for the last answers' way
@@ -85,7 +87,7 @@
             threads("transaction", config.sizes().transactions() + 8), lifecycle::serving,
             () -> lifecycle.phase().ordinal() >= Lifecycle.Phase.FINISHING.ordinal(), () -> lastUs);
         counts = service.counts();
-        listener = new Listener(socket, service, threads("leg", config.sizes().legs() + SPARE_LEGS),
+        listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         lifecycle.enter(Lifecycle.Phase.SERVING);
         parts.forEach(Thread::start);
@@ -222,6 +224,16 @@
         return t;
     }
 
+    /** So many threads; work beyond them waits for one, as legs that make room for others are ending. */
+    private static ExecutorService queued(String name, int most) {
+        AtomicInteger count = new AtomicInteger();
+        ThreadPoolExecutor pool = new ThreadPoolExecutor(most, most, 10, TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(ENDING_LEGS),
+            work -> thread(name + '-' + count.incrementAndGet(), work));
+        pool.allowCoreThreadTimeOut(true);
+        return pool;
+    }
+
     private static ExecutorService threads(String name, int most) {
         AtomicInteger count = new AtomicInteger();
         return new ThreadPoolExecutor(0, most, 10, TimeUnit.SECONDS, new SynchronousQueue<>(),
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -39,7 +39,7 @@
     private final long connectedAt = System.nanoTime();
     private volatile long quietSince = connectedAt;              // when it last had anything to do
     private volatile boolean useful;                             // it has brought a request worth an answer
-    private volatile Answer current;                             // null where no request is held
+    private volatile Answer current;                             // null where no whole request is held
     private volatile boolean ending;
     private boolean answered;
     private int faults;                                          // unacceptable requests in a row
@@ -53,7 +53,7 @@
         this.turnAway = turnAway;
     }
 
-    /** Whether no request is held that has not been answered. */
+    /** Whether no whole request is held that has not been answered. */
     boolean idle() {
         Answer now = current;
         return now == null || now.given();
@@ -64,6 +64,11 @@
         return useful;
     }
 
+    /** Whether it may yet turn out to be useless. */
+    boolean untried() {
+        return !useful && idle() && !ending;
+    }
+
     boolean ending() {
         return ending;
     }
@@ -132,7 +137,7 @@
         // The first request is to be whole soon after connecting, whatever the client does in between.
         long whole = (answered ? System.nanoTime() : connectedAt) + readMs() * 1_000_000;
         Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()));
-        current = answer;
+        quietSince = System.nanoTime();
         boolean large = false;
         try {
             connection.receiveBy(parser, whole, true);
@@ -148,6 +153,7 @@
                 connection.send(HttpWriter.response(100).bytes());
             }
             connection.receiveBy(parser, whole, false);
+            current = answer;
             long lastByteUs = dispatcher.nowUs();
             HttpHead head = parser.head();
             if (early()) {
@@ -212,7 +218,7 @@
         }
         long wait = turnAway ? SPARE_MS : useful ? times.legIdleMs() : times.legReadMs();
         try {
-            return !ending && connection.fill(wait);
+            return !(ending && !connection.pending()) && connection.fill(wait);
         } catch (SocketTimeoutException quiet) {
             return false;
         }
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -8,13 +8,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
+import maplespread.config.Config;
 import maplespread.http.HttpConnection;
 import org.tinylog.Logger;
 
 /** Accepts client connections and keeps the set of caller legs within its size. */
 public final class Listener implements Runnable {
     private static final int POLL_MS = 100;
-    private static final long FRESH_NANOS = 150_000_000;
+    private static final int MOMENTS = 5;
     private final ServerSocket server;
     private final Service service;
     private final ExecutorService legThreads;
@@ -78,34 +79,36 @@
     }
 
     /**
-     * Makes room for one more leg, at the cost of one that holds no request, one that never brought anything
-     * first. Those of a crowd that came just now cannot be told from useful clients, whose first bytes come
-     * at once: they get a moment, for which the next in the queue waits.
+     * Makes room for one more leg at the cost of one that holds no whole request, the longest silent: one
+     * that never brought a job, as long as there are more of these than the places kept for them, else a
+     * useful one. The accepting must not wait: useful clients stand in the same queue as a crowd, and their
+     * time runs. And a useful client's first bytes, which are on their way, must not find its leg gone: each
+     * newcomer lasts for as long as others need to fill the kept places.
      */
     private boolean room() {
-        long end = System.nanoTime() + 2 * FRESH_NANOS;
-        while (legs.size() >= service.config().sizes().legs()) {
-            boolean crowd = legs.stream().anyMatch(l -> !l.useful() && l.idle() && !l.ending());
-            CallerLeg silent = longestSilent(!crowd);
-            if (silent != null) {
-                silent.end();
-                service.counts().shed.increment();
-                return true;
-            }
-            if (System.nanoTime() > end || !crowd) {
-                return false;
-            }
-            pause(5);
+        Config.Sizes sizes = service.config().sizes();
+        if (legs.size() < sizes.legs()) {
+            return true;
+        }
+        long untried = legs.stream().filter(CallerLeg::untried).count();
+        boolean crowd = untried > sizes.legs() - sizes.transactions();
+        CallerLeg silent = longestSilent(!crowd);
+        for (int i = 0; i < MOMENTS && silent == null && crowd; i++) {
+            pause(1);                                            // bytes have come, and will now be read
+            silent = longestSilent(false);
+        }
+        silent = silent == null ? longestSilent(crowd) : silent;
+        if (silent != null) {
+            silent.end();
+            service.counts().shed.increment();
         }
-        return true;
+        return silent != null;
     }
 
-    /** Of those that are useful, or are not, and have been silent for more than a moment. */
     private CallerLeg longestSilent(boolean useful) {
-        long now = System.nanoTime();
         CallerLeg found = null;
         for (CallerLeg leg : legs) {
-            if (leg.useful() == useful && !leg.ending() && now - leg.quietSince() > FRESH_NANOS
+            if (leg.useful() == useful && !leg.ending()
                 && (found == null || leg.quietSince() < found.quietSince()) && leg.silent()) {
                 found = leg;
             }
