--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
-import maplespread.config.Config;
 import maplespread.http.HttpConnection;
 import org.tinylog.Logger;
 
@@ -16,6 +15,7 @@
 public final class Listener implements Runnable {
     private static final int POLL_MS = 100;
     private static final int MOMENTS = 5;
+    private static final int UNTRIED = 10;
     private final ServerSocket server;
     private final Service service;
     private final ExecutorService legThreads;
@@ -79,25 +79,21 @@
     }
 
     /**
-     * Makes room for one more leg at the cost of one that holds no whole request, the longest silent: one
-     * that never brought a job, as long as there are more of these than the places kept for them, else a
-     * useful one. The accepting must not wait: useful clients stand in the same queue as a crowd, and their
-     * time runs. And a useful client's first bytes, which are on their way, must not find its leg gone: each
-     * newcomer lasts for as long as others need to fill the kept places.
+     * Makes room for one more leg at the cost of one that holds no whole request: the longest silent, where
+     * silence counts ten times for one that never brought a job. The accepting must not wait: useful clients
+     * stand in the same queue as a crowd, and their time runs. Closing a useful client's idle connection costs
+     * it a new one, closing a newcomer's costs its first request, whose bytes are on their way: so even in a
+     * crowd newcomers have the time in which a tenth of it would make a useful connection the older one.
      */
     private boolean room() {
-        Config.Sizes sizes = service.config().sizes();
-        if (legs.size() < sizes.legs()) {
+        if (legs.size() < service.config().sizes().legs()) {
             return true;
         }
-        long untried = legs.stream().filter(CallerLeg::untried).count();
-        boolean crowd = untried > sizes.legs() - sizes.transactions();
-        CallerLeg silent = longestSilent(!crowd);
-        for (int i = 0; i < MOMENTS && silent == null && crowd; i++) {
+        CallerLeg silent = longestSilent();
+        for (int i = 0; i < MOMENTS && silent == null && legs.stream().anyMatch(CallerLeg::untried); i++) {
             pause(1);                                            // bytes have come, and will now be read
-            silent = longestSilent(false);
+            silent = longestSilent();
         }
-        silent = silent == null ? longestSilent(crowd) : silent;
         if (silent != null) {
             silent.end();
             service.counts().shed.increment();
@@ -105,12 +101,15 @@
         return silent != null;
     }
 
-    private CallerLeg longestSilent(boolean useful) {
+    private CallerLeg longestSilent() {
+        long now = System.nanoTime();
         CallerLeg found = null;
+        long most = -1;
         for (CallerLeg leg : legs) {
-            if (leg.useful() == useful && !leg.ending()
-                && (found == null || leg.quietSince() < found.quietSince()) && leg.silent()) {
+            long silence = (now - leg.quietSince()) * (leg.useful() ? 1 : UNTRIED);
+            if (silence > most && !leg.ending() && leg.silent()) {
                 found = leg;
+                most = silence;
             }
         }
         return found;
