End the longest idle client connections before clients hold all that they may

Probes in the legs: 1,335 tries were made in 5 s and 726 arrived; from 2.5 s on the useful legs stood at 126 to 128 of 384 descriptors, exactly the third that clients may hold, with 20 in work; 1,250 ended by their clients after 0.5 to 2 s idle, nearly all after one request. So clients had no connection left for their next request. Ruled out: legs closed unserved (none of a usual client's), half requests, CPU (1.7 s in 22 s without the probes), kernel queue.

--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -60,6 +60,7 @@
     }
 
     private void serve(Socket socket) throws IOException {
+        freeClients();
         boolean room = room();
         CallerLeg leg = new CallerLeg(new HttpConnection(socket), service, !room);
         legs.add(leg);
@@ -81,19 +82,32 @@
     /**
      * Makes room for one more leg at the cost of one that holds no whole request: the longest silent, where
      * silence counts ten times for one that never brought a job. The accepting must not wait: useful clients
-     * stand in the same queue as a crowd, and their time runs. Closing a useful client's idle connection costs
-     * it a new one, closing a newcomer's costs its first request, whose bytes are on their way: so even in a
-     * crowd newcomers have the time in which a tenth of it would make a useful connection the older one.
+     * stand in the same queue as a crowd, and their time runs. Closing an idle connection of a useful client
+     * costs it a new one, closing a newcomer's costs its first request, whose bytes are on their way.
      */
     private boolean room() {
         if (legs.size() < service.config().sizes().legs()) {
             return true;
         }
-        CallerLeg silent = longestSilent();
+        CallerLeg silent = longestSilent(1, UNTRIED);
         for (int i = 0; i < MOMENTS && silent == null && legs.stream().anyMatch(CallerLeg::untried); i++) {
             pause(1);                                            // bytes have come, and will now be read
-            silent = longestSilent();
+            silent = longestSilent(1, UNTRIED);
         }
+        return end(silent);
+    }
+
+    /**
+     * Ends the longest idle useful leg where there are many. A third of the descriptors is all that clients
+     * may hold: connections that they keep and do not use would leave them none for their next requests.
+     */
+    private void freeClients() {
+        if (legs.stream().filter(l -> l.useful() && !l.ending()).count() > service.config().sizes().kept()) {
+            end(longestSilent(1, 0));
+        }
+    }
+
+    private boolean end(CallerLeg silent) {
         if (silent != null) {
             silent.end();
             service.counts().shed.increment();
@@ -101,12 +115,13 @@
         return silent != null;
     }
 
-    private CallerLeg longestSilent() {
+    /** Silence counts so many times for useful legs and for those that never brought a job. */
+    private CallerLeg longestSilent(int useful, int untried) {
         long now = System.nanoTime();
         CallerLeg found = null;
-        long most = -1;
+        long most = 0;
         for (CallerLeg leg : legs) {
-            long silence = (now - leg.quietSince()) * (leg.useful() ? 1 : UNTRIED);
+            long silence = (now - leg.quietSince()) * (leg.useful() ? useful : untried);
             if (silence > most && !leg.ending() && leg.silent()) {
                 found = leg;
                 most = silence;
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -31,10 +31,10 @@
                         List<String> kinds) { }
 
     /**
-     * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code
-     * idleLinks}: pooled worker connections.
+     * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code kept}:
+     * of these, beyond how many the longest idle end, {@code idleLinks}: pooled worker connections.
      */
-    public record Sizes(int transactions, int legs, int idleLinks, int probes) { }
+    public record Sizes(int transactions, int legs, int kept, int idleLinks, int probes) { }
 
     /**
      * Time limits in milliseconds that are not the module's. {@code firstByteMs}: for a worker to say that it
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -90,14 +90,15 @@
 
     /**
      * Every client connection costs a descriptor and a thread, every transaction in work one more of each. A
-     * third of the descriptors is for clients with requests, an eighth for those that have brought none yet,
-     * a third for branches; threads get the memory that {@code run} leaves to them.
+     * third of the descriptors is for clients with requests, who are to find some of it free; an eighth is
+     * for those that have brought none yet, a third for branches; threads get the memory that {@code run}
+     * leaves to them.
      */
     private static Config.Sizes sizes(int sockets, double memoryMb) {
         int threads = (int) ((memoryMb - MEMORY_KEPT_MB) * 1024 / THREAD_KB);
         int transactions = Math.min(256, Math.min(sockets / 3, threads * 2 / 5));
         return new Config.Sizes(transactions, transactions + Math.min(sockets / 8, threads / 5),
-            sockets / 12, Math.min(32, sockets / 24));
+            sockets / 4, sockets / 12, Math.min(32, sockets / 24));
     }
 
     private static Config.Times times(Dispatch.Settings set) {
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -341,7 +341,7 @@
                     crowd.add(here.new Client().send(habit));
                 }
                 try (Client fresh = here.new Client()) {
-                    assertEquals("among " + habit, 200, fresh.status(job("page", "t" + habit.length(), 4000)));
+                    assertEquals(habit, 200, fresh.status(job("page", "t" + habit.length(), 4000)));
                 }
             }
         } finally {
@@ -349,6 +349,24 @@
         }
     }
 
+    /** Guards clients, who may hold so many connections, against those that they keep and do not use. */
+    @Test public void theLongestIdleOfManyKeptConnectionsEnds() throws Exception {
+        List<Client> kept = new ArrayList<>();
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(c -> sized(c, 9, 9), worker)) {
+            for (int i = 0; i < 9; i++) {
+                kept.add(here.new Client());
+                assertEquals(200, kept.get(i).status(job("page", "t" + i, 4000)));
+            }
+            try (Client next = here.new Client()) {
+                assertFalse("the first ends", kept.get(0).link.fill(Loopback.LIMIT_MS));
+                assertEquals("the last lives", 200, kept.get(8).status(job("page", "u", 4000)));
+                assertEquals(200, next.status(job("page", "v", 4000)));
+            }
+        } finally {
+            kept.forEach(Client::close);
+        }
+    }
+
     /** Guards a request against a rival under its id, while it is in work and when it has just ended. */
     @Test public void aRivalUnderAnotherClientsIdNeitherHurtsNorAnswersIt() throws Exception {
         try (Peer worker = new Peer(call -> { }); Loopback here = new Loopback(worker);
@@ -469,7 +487,7 @@
 
     private static Config sized(Config c, int transactions, int legs) {
         return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(),
-            new Config.Sizes(transactions, legs, 8, 8), c.times(), c.known());
+            new Config.Sizes(transactions, legs, legs - 1, 8, 8), c.times(), c.known());
     }
 
     private static Config timed(Config c, long legReadMs, long silenceMs, long holdMs, long endMs) {
