--- a/src/main/java/maplespread/Main.java
+++ b/src/main/java/maplespread/Main.java
@@ -3,16 +3,20 @@
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.Consumer;
 import maplespread.config.ConfigError;
 import maplespread.config.ConfigReader;
 import maplespread.drill.WireAdapter;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpParser;
 import org.tinylog.Logger;
 import sun.misc.Signal;
 
 /**
  * The command line: {@code serve} is one real dispatcher, {@code drill} speaks the simulator's wire on
- * standard input and output.
+ * standard input and output, {@code rehearse} serves itself one request and ends.
  */
 public final class Main {
     private Main() { }
@@ -22,15 +26,16 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "drill" -> drill();
-            case "serve" -> serve();
+            case "serve" -> serve(server -> { });
+            case "rehearse" -> serve(Main::rehearse);
             default -> {
-                System.err.println("usage: java -jar maplespread.jar serve | drill");
+                System.err.println("usage: java -jar maplespread.jar serve | drill | rehearse");
                 System.exit(2);
             }
         }
     }
 
-    private static void serve() {
+    private static void serve(Consumer<Server> started) {
         try {
             Map<String, String> env = System.getenv();
             Server server = new Server(ConfigReader.fromEnvironment(env), () -> ConfigReader.again(env));
@@ -41,6 +46,7 @@
                 Runtime.getRuntime().halt(0);
             }, "shutdown"));
             server.start();
+            started.accept(server);
             server.lifecycle().await(Lifecycle.Phase.STOPPED);
         } catch (ConfigError e) {
             System.err.println("configuration: " + e.getMessage());
@@ -53,6 +59,24 @@
         }
     }
 
+    /**
+     * Asks the dispatcher once and ends it. The build has this run recorded in a class archive, from which a
+     * start on a part of a core takes its classes: a restart is an outage for as long as it lasts.
+     */
+    private static void rehearse(Server server) {
+        try (HttpConnection link = HttpConnection.dial(server.address(), 1000)) {
+            for (String request : new String[] {"GET /ready", "POST /catalogue-page/x"}) {
+                link.send((request + " HTTP/1.1\r\nHost: h\r\nX-Txn: r\r\nX-Lane: catalogue-page\r\n"
+                    + "X-Org: marfim\r\nX-Remaining-Ms: 200\r\nContent-Length: 0\r\n\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                link.receive(HttpParser.response(1 << 16, (bytes, at, length) -> { }), 1000);
+            }
+        } catch (IOException e) {
+            Logger.warn("the rehearsal was cut short: {}", e.getMessage());
+        }
+        System.exit(0);
+    }
+
     /** Guards against the JVM's own answer to SIGHUP, which is to exit. */
     static void onHangup(Runnable work) {
         try {
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -134,6 +134,11 @@
         return lifecycle;
     }
 
+    /** What is listened on. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
     /** The port that is listened on. */
     public int port() {
         return socket.getLocalPort();
