--- a/src/main/java/maplespread/lab/registry/StandInRegistry.java
+++ b/src/main/java/maplespread/lab/registry/StandInRegistry.java
@@ -238,7 +238,7 @@
             json(link, 400, error(e.getMessage(), e instanceof Store.Gone ? 11 : 5));
             return;
         }
-        out.add("header", header(target.equals("/v3/kv/range") ? now() : store.revision()));
+        out.add("header", header(target.startsWith("/v3/kv/") ? now() : store.revision()));
         json(link, 200, out);
     }
 
@@ -264,6 +264,10 @@
         }
         long fixed = at > 0 ? at : faults.lag > 0 ? now() : 0;
         List<Store.Version> found = store.range(from, to.equals("\0") ? null : to, fixed, limit + 1);
+        if (in.has("count_only")) {
+            out.addProperty("count", Integer.toString(found.size()));
+            return;
+        }
         JsonArray kvs = new JsonArray();
         for (int i = 0; i < found.size() && i < limit; i++) {
             kvs.add(kv(found.get(i)));
@@ -284,16 +288,28 @@
             : number(in, "lease"));
     }
 
-    private void txn(JsonObject in, JsonObject out) {
+    private void txn(JsonObject in, JsonObject out) throws Store.Gone {
         synchronized (store) {
             boolean all = true;
-            for (JsonElement e : in.getAsJsonArray("compare")) {
+            for (JsonElement e : in.has("compare") ? in.getAsJsonArray("compare") : new JsonArray()) {
                 Store.Version v = store.get(text(e.getAsJsonObject(), "key"));
                 all &= (v == null ? 0 : v.mod()) == number(e.getAsJsonObject(), "mod_revision");
             }
+            JsonArray responses = new JsonArray();
             for (JsonElement e : all ? in.getAsJsonArray("success") : new JsonArray()) {
-                put(e.getAsJsonObject().getAsJsonObject("request_put"));
+                JsonObject operation = e.getAsJsonObject();
+                JsonObject response = new JsonObject();
+                if (operation.has("request_put")) {
+                    put(operation.getAsJsonObject("request_put"));
+                    response.add("response_put", new JsonObject());
+                } else {
+                    JsonObject range = new JsonObject();
+                    range(operation.getAsJsonObject("request_range"), range);
+                    response.add("response_range", range);
+                }
+                responses.add(response);
             }
+            out.add("responses", responses);
             if (all) {
                 out.addProperty("succeeded", true);
             }
--- a/src/main/java/maplespread/lab/registry/Store.java
+++ b/src/main/java/maplespread/lab/registry/Store.java
@@ -301,7 +301,7 @@
         revision = from.revision;
         compacted = revision;
         logFrom = revision + 1;
-        term++;
+        term = 2;                                                // as in a cluster that has just begun
         notifyAll();
     }
 }
--- /dev/null
+++ b/src/main/java/maplespread/lab/registry/VirtualRegistry.java
@@ -0,0 +1,297 @@
+package maplespread.lab.registry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import maplespread.registry.Ask;
+import maplespread.registry.End;
+import maplespread.registry.History;
+import maplespread.registry.Item;
+import maplespread.registry.RegistryCore;
+import maplespread.registry.RegistrySettings;
+
+/**
+ * The stand-in without sockets, on a virtual clock: carries out what cores ask for against a store. For the
+ * model tests, and for measuring how many dispatchers return to one registry.
+ */
+public final class VirtualRegistry {
+    /** One endpoint, and what is wrong with it. */
+    public static final class Member {
+        /** Refuses connections. */
+        public boolean down;
+        /** Accepts and never answers. */
+        public boolean silent;
+        /** Answers with errors only. */
+        public boolean errors;
+        /** Refuses the token. */
+        public boolean denies;
+        /** By how many revisions its answers lie behind. */
+        public long lag;
+        private final Store store;
+
+        public Member(Store store) {
+            this.store = store;
+        }
+
+        private long now() {
+            return Math.max(1, store.revision() - lag);
+        }
+
+        private History history() {
+            return new History(store.cluster(), now(), store.term());
+        }
+    }
+
+    private final RegistrySettings settings;
+    private final List<Member> members;
+    private long requests;
+
+    public VirtualRegistry(RegistrySettings settings, List<Member> members) {
+        this.settings = settings;
+        this.members = members;
+    }
+
+    /** Requests that reached a member that could take them. */
+    public long requests() {
+        return requests;
+    }
+
+    /** One core and the call that it has out. */
+    public final class Conversation {
+        private final RegistryCore core;
+        private final SplittableRandom random;
+        private Member member;
+        private Ask.Watch watch;
+        private Ask.Question question;
+        private long[] next;
+        private long endsAt;
+        private Member linked;                                   // to whom a connection is kept
+        private boolean stale;                                   // it has ended and nobody has noticed
+
+        public Conversation(RegistryCore core, long seed) {
+            this.core = core;
+            random = new SplittableRandom(seed);
+        }
+
+        /** Whether a watch or a question is out. */
+        public boolean open() {
+            return watch != null || question != null;
+        }
+
+        /** Whether nothing is left to be heard on the watch or question that is out. */
+        public boolean upToDate() {
+            if (question != null) {
+                return question.index() == member.store.index(prefix(question.part()));
+            }
+            if (watch == null) {
+                return false;
+            }
+            for (long n : next) {
+                if (n <= member.now()) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        /** The connection breaks; {@code half}: in the middle of what it was to bring. */
+        public void cut(long now, boolean half) {
+            if (watch != null && half) {
+                deliver(now, true);
+            }
+            stale = true;
+            if (open()) {
+                over(now, End.BROKEN);
+            }
+        }
+
+        /** Does one thing; when to be called again at the latest. */
+        public long step(long now) {
+            if (open()) {
+                if (member.down) {
+                    over(now, End.BROKEN);
+                    return now;
+                }
+                if (now >= endsAt) {
+                    over(now, watch != null ? watch.cutAtMs() <= now ? End.STOPPED : End.SILENT
+                        : question.index() > 0 && !member.silent ? ask(now) : End.SILENT);
+                    return now;
+                }
+                if (!member.silent) {
+                    if (watch != null) {
+                        deliver(now, false);
+                    } else if (question.index() != member.store.index(prefix(question.part()))) {
+                        over(now, ask(now));
+                    }
+                }
+                return open() ? endsAt : now;
+            }
+            Ask ask = core.next(now);
+            if (ask instanceof Ask.Pause pause) {
+                return pause.untilMs();
+            }
+            int endpoint = ask instanceof Ask.Range r ? r.endpoint() : ask instanceof Ask.Check c ? c.endpoint()
+                : ask instanceof Ask.Watch w ? w.endpoint() : ((Ask.Question) ask).endpoint();
+            member = members.get(endpoint);
+            if (member.down) {
+                core.ended(now, End.REFUSED);
+                return now;
+            }
+            boolean ended = stale && linked == member;
+            stale = false;
+            linked = member;
+            if (ended) {
+                core.ended(now, End.BROKEN);
+                return now;
+            }
+            requests++;
+            if (member.silent) {
+                core.ended(now + settings.answerMs(), End.SILENT);
+                return now + settings.answerMs();
+            }
+            if (member.errors || member.denies) {
+                core.ended(now, member.errors ? End.ERROR : End.DENIED);
+                return now;
+            }
+            if (ask instanceof Ask.Watch w) {
+                begin(now, w);
+            } else if (ask instanceof Ask.Question q) {
+                question = q;
+                endsAt = now + q.waitMs();
+                if (q.index() == 0) {
+                    over(now, ask(now));
+                }
+            } else {
+                core.ended(now, single(now, ask));
+            }
+            return now;
+        }
+
+        private String prefix(int part) {
+            return settings.follow().get(part);
+        }
+
+        private void over(long now, End how) {
+            stale |= how == End.BROKEN && member.down;
+            linked = how == End.BROKEN ? null : linked;
+            watch = null;
+            question = null;
+            core.ended(now, how);
+        }
+
+        private End single(long now, Ask ask) {
+            Store store = member.store;
+            try {
+                if (ask instanceof Ask.Check c) {
+                    List<Long> counts = new ArrayList<>();
+                    List<Item> found = new ArrayList<>();
+                    for (int i = 0; i < c.proofs().size(); i++) {
+                        Ask.Proof proof = c.proofs().get(i);
+                        counts.add((long) range(prefix(i), prefix(i) + '\uffff', proof.revision()).size());
+                        found.add(proof.key() == null ? null : one(proof.key(), proof.revision()));
+                    }
+                    return core.checked(now, member.history(), counts, found, c.gone() != null
+                        && one(c.gone(), c.goneAt()) != null) ? End.DONE : End.STOPPED;
+                }
+                Ask.Range r = (Ask.Range) ask;
+                if (r.revision() > member.now()) {
+                    throw new Store.Gone(false);
+                }
+                String from = r.after().isEmpty() ? prefix(r.part()) : r.after() + '\0';
+                List<Store.Version> found = store.range(from, prefix(r.part()) + '\uffff',
+                    r.revision() == 0 && member.lag > 0 ? member.now() : r.revision(), r.limit() + 1L);
+                boolean more = found.size() > r.limit();
+                return core.page(now, member.history(), found.stream().limit(r.limit())
+                    .map(VirtualRegistry::item).toList(), more) ? End.DONE : End.STOPPED;
+            } catch (Store.Gone e) {
+                return (e.compacted ? core.compacted(now) : core.ahead(now, member.history())) ? End.DONE
+                    : End.STOPPED;
+            }
+        }
+
+        private Item one(String key, long at) throws Store.Gone {
+            List<Store.Version> found = range(key, key + '\0', at);
+            return found.isEmpty() ? null : item(found.get(0));
+        }
+
+        private List<Store.Version> range(String from, String to, long at) throws Store.Gone {
+            if (at > member.now()) {
+                throw new Store.Gone(false);
+            }
+            return member.store.range(from, to, at, Long.MAX_VALUE);
+        }
+
+        private void begin(long now, Ask.Watch ask) {
+            watch = ask;
+            endsAt = Math.min(now + settings.silenceMs(), ask.cutAtMs());
+            next = ask.from().stream().mapToLong(Long::longValue).toArray();
+            for (int i = 0; i < next.length; i++) {
+                if (!core.created(now, member.history(), i)) {
+                    over(now, End.STOPPED);
+                    return;
+                }
+            }
+        }
+
+        /** Brings what has changed, in batches of whole revisions, some of them in fragments. */
+        private void deliver(long now, boolean half) {
+            for (int part = 0; part < next.length; part++) {
+                List<Item> events = new ArrayList<>();
+                try {
+                    long upTo = next[part] + random.nextInt(6);
+                    while (next[part] <= Math.min(upTo, member.now())) {
+                        for (Store.Version v : member.store.changesOf(next[part])) {
+                            if (v.key().startsWith(prefix(part))) {
+                                events.add(item(v));
+                            }
+                        }
+                        next[part]++;
+                    }
+                } catch (Store.Gone e) {
+                    core.canceled(now, member.store.compacted(), "compacted");
+                    over(now, End.STOPPED);
+                    return;
+                }
+                if (events.isEmpty()) {
+                    continue;
+                }
+                endsAt = Math.min(now + settings.silenceMs(), watch.cutAtMs());
+                int cut = events.size() > 1 ? random.nextInt(events.size()) : 0;
+                boolean on = true;
+                if (cut > 0 || half) {
+                    on = core.changes(now, member.history(), part, events.subList(0, cut), true);
+                }
+                if (half) {
+                    return;
+                }
+                if (!on || !core.changes(now, member.history(), part, events.subList(cut, events.size()),
+                        false)) {
+                    over(now, End.STOPPED);
+                    return;
+                }
+            }
+            if (random.nextInt(8) == 0 && upToDate() && !core.progress(now, member.history())) {
+                over(now, End.STOPPED);
+            }
+        }
+
+        private End ask(long now) {
+            try {
+                String prefix = prefix(question.part());
+                boolean leader = question.consistent();
+                long at = member.lag > 0 && !leader ? Math.max(member.now(), member.store.compacted()) : 0;
+                long index = member.store.index(prefix);
+                List<Item> items = member.store.range(prefix, prefix + '\uffff', at, Long.MAX_VALUE).stream()
+                    .map(VirtualRegistry::item).toList();
+                return core.answer(now, at > 0 ? Math.min(at, index) : index, true, 0, items) ? End.DONE
+                    : End.STOPPED;
+            } catch (Store.Gone e) {
+                return End.ERROR;
+            }
+        }
+    }
+
+    private static Item item(Store.Version v) {
+        return v.value() == null ? Item.deleted(v.key(), v.mod()) : Item.of(v.key(), v.value(), v.mod());
+    }
+}
--- a/src/main/java/maplespread/registry/Ask.java
+++ b/src/main/java/maplespread/registry/Ask.java
@@ -13,8 +13,14 @@
     /** A page of a part's keys behind {@code after}, at one revision (0: the present one). */
     record Range(int endpoint, int part, String after, long revision, int limit) implements Ask { }
 
-    /** The key as it stood at that revision. */
-    record Check(int endpoint, String key, long revision) implements Ask { }
+    /**
+     * Whether the history held is the registry's: by part, how many keys there are at a revision and one of
+     * them, and a key that had gone by then ({@code gone}, null: none).
+     */
+    record Check(int endpoint, List<Proof> proofs, String gone, long goneAt) implements Ask { }
+
+    /** What of a part is looked at; {@code key} is null where the part is held to be empty. */
+    record Proof(long revision, String key) { }
 
     /** The changes of each part from these revisions on, until {@code cutAtMs} at most. */
     record Watch(int endpoint, List<Long> from, long cutAtMs) implements Ask { }
--- a/src/main/java/maplespread/registry/RegistryCore.java
+++ b/src/main/java/maplespread/registry/RegistryCore.java
@@ -31,12 +31,13 @@
     private final class Paging {
         final List<Map<String, Item>> fresh = new ArrayList<>();
         final long startedAt;
+        final int endpoint;
         String after = "";
         History history;
-        Item newest;
 
-        Paging(long now) {
+        Paging(long now, int endpoint) {
             startedAt = now;
+            this.endpoint = endpoint;
             fresh.add(new LinkedHashMap<>());
         }
     }
@@ -51,7 +52,8 @@
 
     private Phase phase = Phase.REBUILDING;
     private History held;                                        // null: nothing has been read yet
-    private Item last;                                           // the newest change that is held
+    private String gone;                                         // the newest change's key, if it deleted it
+    private int goneFrom;
     private final long[] at;                                     // by part: all up to it is held
     private final List<List<Item>> fragments = new ArrayList<>();
     private Paging paging;
@@ -120,6 +122,9 @@
         if (endpoint < 0) {
             return new Ask.Pause(Math.max(now + 1, endpoints.soonest()));
         }
+        if (paging != null && paging.endpoint != endpoint) {
+            beginAgain();                                        // the pages would be of two members
+        }
         if (phase == Phase.REBUILDING && paging == null && now < rebuildAt) {
             return new Ask.Pause(rebuildAt);
         }
@@ -133,20 +138,21 @@
         }
         out = whole ? question(endpoint) : switch (phase) {
             case REBUILDING -> range(endpoint, now);
-            case CHECKING -> new Ask.Check(endpoint, last.key(), last.revision());
+            case CHECKING -> check(endpoint);
             case FOLLOWING -> watch(endpoint);
         };
         return out;
     }
 
     private Ask question(int endpoint) {
-        long index = consistent || held == null ? 0 : at[0];
+        // After a break all is read at once: a registry restored meanwhile may stand at the same index.
+        long index = consistent || broke || held == null ? 0 : at[0];
         return new Ask.Question(endpoint, firstPart, index, pace.around(settings.waitMs()), consistent);
     }
 
     private Ask range(int endpoint, long now) {
         if (paging == null) {
-            paging = new Paging(now);
+            paging = new Paging(now, endpoint);
             rebuildRest = now - rebuildAt > REBUILD_CAP_MS ? 0 : rebuildRest;
             rebuildRest = pace.next(REBUILD_BASE_MS, rebuildRest, REBUILD_CAP_MS);
             rebuildAt = now + rebuildRest;
@@ -155,6 +161,14 @@
             paging.history == null ? 0 : paging.history.revision(), page);
     }
 
+    private Ask check(int endpoint) {
+        List<Ask.Proof> proofs = new ArrayList<>();
+        for (int i = 0; i < parts; i++) {
+            proofs.add(new Ask.Proof(at[i], view.newest(firstPart + i)));
+        }
+        return new Ask.Check(endpoint, proofs, gone, gone == null ? 0 : at[goneFrom]);
+    }
+
     private Ask watch(int endpoint) {
         fragments.forEach(List::clear);
         List<Long> from = new ArrayList<>();
@@ -178,9 +192,7 @@
             return false;
         }
         if (paging.history != null && !paging.history.leadsTo(history)) {
-            paging = null;                                       // the pages would be of two registries
-            doubt(now, history);
-            return false;
+            return ahead(now, history);                          // the pages would be of two registries
         }
         if (paging.history == null) {
             paging.history = history;
@@ -188,9 +200,6 @@
         Map<String, Item> fresh = paging.fresh.get(paging.fresh.size() - 1);
         for (Item item : items) {
             fresh.put(item.key(), item);
-            if (paging.newest == null || item.revision() > paging.newest.revision()) {
-                paging.newest = item;
-            }
         }
         heardAt = now;
         if (more && !items.isEmpty()) {
@@ -206,10 +215,17 @@
 
     private void rebuilt(long now) {
         History next = paging.history;
-        boolean other = (otherHistory || proved) && held != null;
         boolean first = held == null;
+        boolean other = !first && (otherHistory || proved);
+        for (int i = 0; i < parts && !first && !other; i++) {
+            if (view.contradicted(firstPart + i, paging.fresh.get(i), at[i])) {
+                other = true;
+                sink.event(true, "registry.history_changed", "endpoint", endpointName(), "revision",
+                    next.revision(), "held", held.revision(), "why", "old keys are not those that are held");
+            }
+        }
         held = next;
-        last = paging.newest;
+        gone = null;
         int[] sum = new int[5];
         for (int i = 0; i < parts; i++) {
             at[i] = next.revision();
@@ -231,16 +247,22 @@
         phase = Phase.FOLLOWING;
     }
 
-    /** What was checked: the key at the last change's revision, or null where it did not exist then. */
-    public boolean checked(long now, History history, Item found) {
+    /**
+     * What was checked: by part the number of keys and the key asked for (null: it is not there), and whether
+     * the key that had gone is there. A registry that was restored and has since come as far as what is held
+     * shows here: its cluster and revisions alone would look right.
+     */
+    public boolean checked(long now, History history, List<Long> counts, List<Item> found, boolean gone) {
         if (!trusted(now, history)) {
             return false;
         }
-        boolean same = last.isDeleted() ? found == null : found != null
-            && found.revision() == last.revision() && text(found).equals(text(last));
+        boolean same = !gone;
+        for (int i = 0; i < parts; i++) {
+            same &= counts.get(i) == view.size(firstPart + i) && view.holds(firstPart + i, found.get(i));
+        }
         if (!same) {
             proved = true;
-            believe(now, history, "the last change held is not in it");
+            believe(now, history, "the last changes held are not in it");
             return false;
         }
         heardAt = now;
@@ -248,27 +270,30 @@
         return true;
     }
 
-    private static String text(Item item) {
-        try {
-            return String.valueOf(item.text());
-        } catch (RuntimeException unreadable) {
-            return "";
-        }
-    }
-
     /** The revision that a range or a check asked for has been compacted away. */
     public boolean compacted(long now) {
         if (phase == Phase.CHECKING) {
-            phase = Phase.FOLLOWING;                             // the watch's own start is a later revision
+            lost(0);                                             // nothing can be proved any more
         } else if (paging != null) {
             sink.event(true, "registry.compacted", "while", "rebuilding", "revision",
                 paging.history == null ? 0 : paging.history.revision());
-            paging = null;
-            page = Math.min(page * 2, settings.page() * MOST_PAGE_GROWTH);      // fewer, so that one succeeds
+            beginAgain();
         }
         return true;
     }
 
+    private void lost(long oldest) {
+        sink.event(true, "registry.compacted", "while", phase, "revision", held.revision(), "oldest", oldest);
+        phase = Phase.REBUILDING;
+        paging = null;
+    }
+
+    /** The pages read so far are worth nothing; with larger ones the next rebuild is more likely to end. */
+    private void beginAgain() {
+        paging = null;
+        page = Math.min(page * 2, settings.page() * MOST_PAGE_GROWTH);
+    }
+
     /** The revision that was asked for lies ahead of this member. */
     public boolean ahead(long now, History history) {
         paging = null;
@@ -319,9 +344,8 @@
         batch.clear();
         Item newest = all.get(all.size() - 1);
         at[part - firstPart] = newest.revision();
-        if (last == null || newest.revision() >= last.revision()) {
-            last = newest;
-        }
+        gone = newest.isDeleted() ? newest.key() : null;
+        goneFrom = part - firstPart;
         reached(history, newest.revision());
         view.apply(part, all, newest.revision());
         return true;
@@ -351,14 +375,11 @@
     /** A watch was ended by the registry. {@code compactRevision}: the oldest left, if that is why. */
     public boolean canceled(long now, long compactRevision, String reason) {
         if (compactRevision > 0) {
-            sink.event(true, "registry.compacted", "while", "following", "revision", held.revision(),
-                "oldest", compactRevision);
-            phase = Phase.REBUILDING;
-            paging = null;
+            lost(compactRevision);
         } else {
             sink.event(true, "registry.canceled", "endpoint", endpointName(), "why", reason);
             endpoints.failed(endpoint(), now, End.ERROR);
-            phase = last == null ? Phase.FOLLOWING : Phase.CHECKING;
+            phase = Phase.CHECKING;
         }
         return false;
     }
@@ -390,9 +411,16 @@
         heardAt = now;
         useful();
         consistent = false;
-        if (first || reached != at[0]) {
+        if (first || reached != at[0] || broke) {
             Map<String, Item> fresh = new LinkedHashMap<>();
             items.forEach(item -> fresh.put(item.key(), item));
+            // An instance's index may fall when one of its checks is removed: it proves nothing.
+            if (!first && !back && settings.dialect() != RegistrySettings.Dialect.CONSUL_HEALTH
+                    && view.contradicted(firstPart, fresh, at[0])) {
+                back = true;
+                sink.event(true, "registry.history_changed", "endpoint", endpointName(), "revision", reached,
+                    "held", at[0], "why", "old keys are not those that are held");
+            }
             at[0] = reached;
             held = new History("", reached, 0);
             View.Difference d = view.replace(firstPart, fresh, back, reached, now);
@@ -422,6 +450,10 @@
         fragments.forEach(List::clear);                          // half a revision is none
         denied = how == End.DENIED;
         boolean silent = false;
+        boolean cut = how == End.BROKEN || how == End.SILENT || how == End.REFUSED;
+        if (cut && paging != null && paging.history != null) {
+            beginAgain();                                        // another history may answer from now on
+        }
         switch (how) {
             case DONE, STOPPED -> {
                 if (watching && how == End.DONE) {
@@ -472,7 +504,7 @@
                 sink.event(false, "registry.prefer", "endpoint", endpointName());
             }
         }
-        if (watching && phase == Phase.FOLLOWING && last != null) {
+        if (watching && phase == Phase.FOLLOWING) {
             phase = Phase.CHECKING;
         }
     }
--- a/src/main/java/maplespread/registry/View.java
+++ b/src/main/java/maplespread/registry/View.java
@@ -22,7 +22,8 @@
  * then the first key. So what is shown depends only on what is held, not on the order in which it came.
  *
  * <p>After another history (a restored registry) two things that were told before still count. A drain
- * ({@code pins}): it holds until that worker is written again or has another start. A worker that the new
+ * ({@code drains}): it holds until that worker is written again or has another start, also for one that had
+ * gone meanwhile. A worker that the new
  * history does not know ({@code orphans}): its absence is lost data and not somebody's word, so it stays for
  * a time in which it can register anew.
  */
@@ -31,7 +32,8 @@
         final int part;
         final String key;
         long revision;
-        long readRevision;                                       // of the value that the route is made of
+        int hash;                                                // of the value last seen, readable or not
+        long readAt;                                             // when its route was last read, as a count
         Route route;                                             // null: no value of it could be read yet
         long orphanUntil = Long.MAX_VALUE;
 
@@ -41,7 +43,10 @@
         }
     }
 
-    private record Pin(double startedAtMs, int part, long revision) { }
+    private static final int MOST_DRAINS = 50_000;
+
+    /** One start of a worker that was told to be draining. */
+    private record Drain(String worker, double startedAtMs) { }
 
     /** What a rebuild has changed, in workers. */
     public record Difference(int added, int gone, int drained, int restarted, int other) {
@@ -57,7 +62,15 @@
     private final BitSet unread = new BitSet();                  // parts that have never been whole
     private final Map<String, List<Held>> byWorker = new HashMap<>();
     private final Map<String, Route> shown = new LinkedHashMap<>();
-    private final Map<String, Pin> pins = new HashMap<>();
+    /** Drains told, and up to which reading each holds whatever the registry says; 0: none. */
+    private final Map<Drain, Long> drains = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override protected boolean removeEldestEntry(Map.Entry<Drain, Long> eldest) {
+            return size() > MOST_DRAINS;
+        }
+    };
+    private long reading;
     private final Set<Held> orphans = new LinkedHashSet<>();
     private long orphansUntil = Long.MAX_VALUE;
     private long generation;
@@ -83,6 +96,30 @@
         return java.util.Collections.unmodifiableMap(shown);
     }
 
+    /** How many keys the registry is held to have in a part. */
+    long size(int part) {
+        return parts.get(part).size() - orphans.stream().filter(h -> h.part == part).count();
+    }
+
+    /** The key of a part that was changed last; null where it has none. */
+    String newest(int part) {
+        Held best = null;
+        for (Held h : parts.get(part).values()) {
+            if (h.orphanUntil == Long.MAX_VALUE && (best == null || h.revision > best.revision
+                    || h.revision == best.revision && h.key.compareTo(best.key) < 0)) {
+                best = h;
+            }
+        }
+        return best == null ? null : best.key;
+    }
+
+    /** Whether an item is what is held under the newest key; null: none is held. */
+    boolean holds(int part, Item item) {
+        String key = newest(part);
+        return key == null ? item == null : item != null && key.equals(item.key())
+            && same(parts.get(part).get(key), item);
+    }
+
     /** Workers kept though a restored registry does not know them. */
     public int orphans() {
         return orphans.size();
@@ -107,18 +144,6 @@
     Difference replace(int part, Map<String, Item> fresh, boolean other, long revision, long now) {
         Set<String> touched = new LinkedHashSet<>();
         Map<String, Held> held = parts.get(part);
-        if (other) {
-            long upTo = revision;
-            for (Item item : fresh.values()) {
-                upTo = Math.max(upTo, item.revision());
-            }
-            for (Held h : held.values()) {
-                if (h.route != null && (h.route.state() != Route.State.SERVING
-                        || pins.containsKey(h.route.worker()))) {
-                    pins.put(h.route.worker(), new Pin(h.route.startedAtMs(), part, upTo));
-                }
-            }
-        }
         for (Held h : List.copyOf(held.values())) {
             if (fresh.containsKey(h.key) || h.orphanUntil < Long.MAX_VALUE && !other) {
                 continue;
@@ -135,14 +160,47 @@
         }
         for (Item item : fresh.values()) {
             Held h = held.get(item.key());
-            if (other || h == null || h.revision != item.revision() || h.orphanUntil < Long.MAX_VALUE) {
+            if (other || h == null || h.orphanUntil < Long.MAX_VALUE || !same(h, item)) {
                 put(part, item, touched);
             }
         }
+        if (other) {
+            drains.replaceAll((drain, upTo) -> reading);
+        }
         unread.clear(part);
         return publish(touched, revision);
     }
 
+    /**
+     * Whether what is read cannot be of the history held up to {@code revision}: a key that was changed before
+     * that and is not held so. Guards against a registry that was restored and has come further since, whose
+     * revisions alone look right.
+     */
+    boolean contradicted(int part, Map<String, Item> fresh, long revision) {
+        Map<String, Held> held = parts.get(part);
+        for (Item item : fresh.values()) {
+            Held h = held.get(item.key());
+            if (h == null || h.orphanUntil < Long.MAX_VALUE ? item.revision() <= revision
+                    : item.revision() < h.revision || item.revision() == h.revision && !same(h, item)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean same(Held h, Item item) {
+        return h.revision == item.revision() && h.hash == hash(item);
+    }
+
+    /** Of the value; one that cannot even be decoded counts as empty. */
+    private static int hash(Item item) {
+        try {
+            return item.text().hashCode();
+        } catch (RuntimeException e) {
+            return 0;
+        }
+    }
+
     /** Lets go of workers that a restored registry has not come to know in time. */
     void expire(long now) {
         if (now < orphansUntil) {
@@ -164,6 +222,7 @@
     private void put(int part, Item item, Set<String> touched) {
         Held h = parts.get(part).computeIfAbsent(item.key(), k -> new Held(part, k));
         h.revision = item.revision();
+        h.hash = hash(item);
         if (orphans.remove(h)) {
             h.orphanUntil = Long.MAX_VALUE;
         }
@@ -188,7 +247,7 @@
             }
         }
         h.route = route;
-        h.readRevision = item.revision();
+        h.readAt = ++reading;
         touched.add(route.worker());
     }
 
@@ -220,20 +279,11 @@
             best = best == null || before(h, best) ? h : best;
         }
         if (best == null) {
-            pins.remove(worker);
             return null;
         }
         Route r = best.route;
-        Pin pin = pins.get(worker);
-        if (pin == null) {
-            return r;
-        }
-        // An orphan's revision is the old history's, and a value that was not read is nobody's word.
-        boolean written = best.orphanUntil == Long.MAX_VALUE && best.part == pin.part()
-            && best.readRevision > pin.revision();
-        if (written || r.startedAtMs() != pin.startedAtMs()) {
-            pins.remove(worker);
-            return r;
+        if (best.readAt > drains.getOrDefault(new Drain(worker, r.startedAtMs()), 0L)) {
+            return r;                                            // nothing is held against it, or it is newer
         }
         return new Route(r.worker(), r.address(), Route.State.DRAINING, r.weight(), r.kind(), r.cell(),
             r.zone(), r.startedAtMs());
@@ -261,6 +311,11 @@
             if (Objects.equals(before, now)) {
                 continue;
             }
+            if (now != null && now.state() == Route.State.SERVING) {
+                drains.remove(new Drain(worker, now.startedAtMs()));
+            } else if (now != null) {
+                drains.putIfAbsent(new Drain(worker, now.startedAtMs()), 0L);
+            }
             changes.add(now != null ? now : new Route(worker, before.address(), Route.State.DELETED,
                 before.weight(), before.kind(), before.cell(), before.zone(), before.startedAtMs()));
             if (before == null) {
--- a/src/main/java/maplespread/registry/client/Follower.java
+++ b/src/main/java/maplespread/registry/client/Follower.java
@@ -113,13 +113,14 @@
         if (ask instanceof Ask.Watch watch) {
             return watch(watch);
         }
-        boolean check = ask instanceof Ask.Check;
-        Request request = ask instanceof Ask.Check c ? EtcdWire.get(c.key(), c.revision())
+        Ask.Check check = ask instanceof Ask.Check c ? c : null;
+        Request request = check != null
+            ? EtcdWire.check(settings.follow(), check.proofs(), check.gone(), check.goneAt())
             : range((Ask.Range) ask);
-        int endpoint = ask instanceof Ask.Check c ? c.endpoint() : ((Ask.Range) ask).endpoint();
-        EtcdWire.Page page;
+        String endpoint = endpoint(check != null ? check.endpoint() : ((Ask.Range) ask).endpoint());
+        String body;
         try {
-            page = EtcdWire.page(link.call(endpoint(endpoint), request, settings.answerMs(), false).body());
+            body = link.call(endpoint, request, settings.answerMs(), false).body();
         } catch (RegistryLink.Failed e) {
             EtcdWire.Fault fault = e.how == End.ERROR ? EtcdWire.fault(e.status, e.body)
                 : EtcdWire.Fault.OTHER;
@@ -138,11 +139,16 @@
                 }
             }
         }
+        if (check != null) {
+            EtcdWire.Checked c = EtcdWire.checked(body, check.proofs(), check.gone() != null);
+            synchronized (lock) {
+                return core.checked(nowMs(), c.history(), c.counts(), c.found(), c.gone()) ? End.DONE
+                    : End.STOPPED;
+            }
+        }
+        EtcdWire.Page page = EtcdWire.page(body);
         synchronized (lock) {
-            boolean on = check
-                ? core.checked(nowMs(), page.history(), page.items().isEmpty() ? null : page.items().get(0))
-                : core.page(nowMs(), page.history(), page.items(), page.more());
-            return on ? End.DONE : End.STOPPED;
+            return core.page(nowMs(), page.history(), page.items(), page.more()) ? End.DONE : End.STOPPED;
         }
     }
 
--- a/src/main/java/maplespread/registry/wire/EtcdWire.java
+++ b/src/main/java/maplespread/registry/wire/EtcdWire.java
@@ -1,5 +1,6 @@
 package maplespread.registry.wire;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -8,6 +9,7 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.List;
+import maplespread.registry.Ask;
 import maplespread.registry.History;
 import maplespread.registry.Item;
 
@@ -19,6 +21,9 @@
     /** A range's answer. */
     public record Page(History history, List<Item> items, boolean more) { }
 
+    /** A check's answer. */
+    public record Checked(History history, List<Long> counts, List<Item> found, boolean gone) { }
+
     /** One line of a watch; {@code watch} is the id that the request gave. */
     public record Notice(History history, long watch, boolean created, boolean canceled, long compactRevision,
                          String reason, boolean fragment, List<Item> items) { }
@@ -40,6 +45,35 @@
         return new Request("POST", "/v3/kv/range", o.toString());
     }
 
+    /**
+     * By prefix the number of keys at a revision and one of them (null: none is asked for), then the key that
+     * should not be there: all in one request.
+     */
+    public static Request check(List<String> prefixes, List<Ask.Proof> proofs, String gone, long goneAt) {
+        JsonArray ranges = new JsonArray();
+        for (int i = 0; i < prefixes.size(); i++) {
+            Ask.Proof proof = proofs.get(i);
+            JsonObject count = operation(range(prefixes.get(i), "", proof.revision(), 0));
+            count.getAsJsonObject("request_range").addProperty("count_only", true);
+            ranges.add(count);
+            if (proof.key() != null) {
+                ranges.add(operation(get(proof.key(), proof.revision())));
+            }
+        }
+        if (gone != null) {
+            ranges.add(operation(get(gone, goneAt)));
+        }
+        JsonObject txn = new JsonObject();
+        txn.add("success", ranges);
+        return new Request("POST", "/v3/kv/txn", txn.toString());
+    }
+
+    private static JsonObject operation(Request range) {
+        JsonObject o = new JsonObject();
+        o.add("request_range", JsonParser.parseString(range.body()));
+        return o;
+    }
+
     /** One key at a revision (0: the present one). */
     public static Request get(String key, long revision) {
         JsonObject o = new JsonObject();
@@ -114,6 +148,29 @@
         }
     }
 
+    /** The answer to a check. */
+    public static Checked checked(String body, List<Ask.Proof> proofs, boolean gone) throws WireError {
+        try {
+            JsonObject o = object(body);
+            List<Item> found = new ArrayList<>();
+            List<Long> counts = new ArrayList<>();
+            JsonArray all = o.getAsJsonArray("responses");
+            int next = 0;
+            for (Ask.Proof proof : proofs) {
+                counts.add(number(ranged(all, next++), "count"));
+                List<Item> items = proof.key() == null ? List.of() : items(ranged(all, next++), "kvs");
+                found.add(items.isEmpty() ? null : items.get(0));
+            }
+            return new Checked(history(o), counts, found, gone && !items(ranged(all, next), "kvs").isEmpty());
+        } catch (RuntimeException e) {
+            throw new WireError("not a check's answer", e);
+        }
+    }
+
+    private static JsonObject ranged(JsonArray responses, int at) {
+        return responses.get(at).getAsJsonObject().getAsJsonObject("response_range");
+    }
+
     /** A line of a watch's stream. */
     public static Notice notice(String line) throws WireError {
         try {
