Operators' commands, stories over sockets and a measurement for registries

The registry's client needed tools, tests over real sockets and figures. A rebuild's rest grows with the number of dispatchers, not to 10 s for one alone, which had left a drain unread in one story.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import maplespread.caller.Counts;
 import maplespread.caller.Listener;
 import maplespread.caller.Service;
@@ -63,6 +64,7 @@
     private final Branches branches;
     private final Prober prober;
     private final Handover routes;
+    private volatile Consumer<RouteNews> tap = news -> { };
     private RegistrySettings registry;                           // null: discovery has the word
     private final List<Thread> parts;
     private final ExecutorService probes;
@@ -91,6 +93,7 @@
         routes = new Handover(maker(config, registry), new RouteSink() {
             @Override public void news(RouteNews news) {
                 dispatcher.report(news);
+                tap.accept(news);
             }
 
             @Override public void watchLost() {
@@ -171,6 +174,11 @@
         }
     }
 
+    /** Has the tools hear what the dispatcher has just learned of the route set. */
+    public void onRoutes(Consumer<RouteNews> listener) {
+        tap = listener;
+    }
+
     public Lifecycle lifecycle() {
         return lifecycle;
     }
--- a/src/main/java/maplespread/cli/Cli.java
+++ b/src/main/java/maplespread/cli/Cli.java
@@ -18,7 +18,7 @@
 @Command(name = "maplespread", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
     description = "A dispatcher for the workers behind many services.",
     subcommands = {Cli.Serve.class, Cli.Drill.class, Cli.Rehearse.class, Cli.Check.class,
-        RegistryCommands.class, Measure.class, AutoComplete.GenerateCompletion.class},
+        RegistryCommands.class, Measure.class, Lab.class, AutoComplete.GenerateCompletion.class},
     exitCodeListHeading = "%nExit status:%n",
     exitCodeList = {"0:done", "1:it could not be done, or an aim was missed",
         "2:a wrong call or configuration"})
@@ -28,11 +28,14 @@
 
     /** Runs a command; returns the exit status. */
     public static int run(String... args) {
-        return new CommandLine(new Cli()).setCaseInsensitiveEnumValuesAllowed(true)
-            .setExecutionExceptionHandler((e, line, parsed) -> {
-                line.getErr().println(e.getMessage() == null ? e.toString() : e.getMessage());
-                return e instanceof ConfigError ? 2 : 1;
-            }).execute(args);
+        return line().execute(args);
+    }
+
+    static CommandLine line() {
+        return new CommandLine(new Cli()).setExecutionExceptionHandler((e, line, parsed) -> {
+            line.getErr().println(e.getMessage() == null ? e.toString() : e.getMessage());
+            return e instanceof ConfigError ? 2 : 1;
+        });
     }
 
     @Override public void run() {
@@ -42,7 +45,7 @@
     static final class Version implements CommandLine.IVersionProvider {
         @Override public String[] getVersion() {
             String v = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"maplespread " + (v == null ? "(unpacked)" : v)};
+            return new String[] {"maplespread " + (v == null ? "(no version: not from its jar)" : v)};
         }
     }
 
--- a/src/main/java/maplespread/lab/registry/StandInRegistry.java
+++ b/src/main/java/maplespread/lab/registry/StandInRegistry.java
@@ -50,11 +50,16 @@
     public volatile long progressMs = 600_000;
 
     public StandInRegistry(Store store, long seed) throws IOException {
+        this(store, seed, 0);
+    }
+
+    /** At this port; 0: any. */
+    public StandInRegistry(Store store, long seed, int at) throws IOException {
         this.store = store;
         faults = new Faults(seed);
         ServerSocket first = new ServerSocket();
         first.setReuseAddress(true);
-        first.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024);
+        first.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), at), 1024);
         port = first.getLocalPort();
         listen(first);
     }
--- a/src/main/java/maplespread/lab/registry/Store.java
+++ b/src/main/java/maplespread/lab/registry/Store.java
@@ -9,7 +9,7 @@
 
 /**
  * A key-value store with a revision for each change, the past up to a compaction, and leases. Its own monitor
- * guards it and wakes those that wait for a change. Time is passed in, so that it serves the virtual clock too.
+ * guards it and wakes those that wait for a change. Time is passed in, so that a virtual clock will do.
  */
 public final class Store {
     /** A key at one of its changes; a null value: deleted. */
--- a/src/main/java/maplespread/lab/registry/VirtualRegistry.java
+++ b/src/main/java/maplespread/lab/registry/VirtualRegistry.java
@@ -130,8 +130,9 @@
             if (ask instanceof Ask.Pause pause) {
                 return pause.untilMs();
             }
-            int endpoint = ask instanceof Ask.Range r ? r.endpoint() : ask instanceof Ask.Check c ? c.endpoint()
-                : ask instanceof Ask.Watch w ? w.endpoint() : ((Ask.Question) ask).endpoint();
+            int endpoint = ask instanceof Ask.Range r ? r.endpoint()
+                : ask instanceof Ask.Check c ? c.endpoint() : ask instanceof Ask.Watch w ? w.endpoint()
+                : ((Ask.Question) ask).endpoint();
             member = members.get(endpoint);
             if (member.down) {
                 core.ended(now, End.REFUSED);
--- a/src/main/java/maplespread/registry/RegistryCore.java
+++ b/src/main/java/maplespread/registry/RegistryCore.java
@@ -25,7 +25,7 @@
     private static final long NONE = Long.MIN_VALUE;
     private static final int MOST_PAGE_GROWTH = 16;
     private static final int MOST_DOUBLINGS = 5;
-    private static final long REBUILD_BASE_MS = 100, REBUILD_CAP_MS = 10_000;
+    private static final long REBUILD_BASE_MS = 20, REBUILD_CAP_MS = 200, REBUILD_PEER_MS = 50;
 
     /** A rebuild under way. */
     private final class Paging {
@@ -58,6 +58,7 @@
     private final List<List<Item>> fragments = new ArrayList<>();
     private Paging paging;
     private int page;
+    private final long rebuildCap;                               // a drain may lie unread for as long
     private long rebuildAt, rebuildRest;
     private long doubtSince = NONE;
     private boolean otherHistory;                                // the doubt is over: it is another one
@@ -85,6 +86,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         pace = new Pace((double) settings.requestsPerS() / Math.max(1, peers), random);
         endpoints = new Endpoints(settings.endpoints().size(), pace);
+        rebuildCap = REBUILD_CAP_MS + REBUILD_PEER_MS * (peers - 1L);
         page = settings.page();
         at = new long[parts];
         heardAt = now;
@@ -153,8 +155,8 @@
     private Ask range(int endpoint, long now) {
         if (paging == null) {
             paging = new Paging(now, endpoint);
-            rebuildRest = now - rebuildAt > REBUILD_CAP_MS ? 0 : rebuildRest;
-            rebuildRest = pace.next(REBUILD_BASE_MS, rebuildRest, REBUILD_CAP_MS);
+            rebuildRest = now - rebuildAt > 2 * rebuildCap ? 0 : rebuildRest;
+            rebuildRest = pace.next(REBUILD_BASE_MS, rebuildRest, rebuildCap);
             rebuildAt = now + rebuildRest;
         }
         return new Ask.Range(endpoint, firstPart + paging.fresh.size() - 1, paging.after,
--- a/src/main/java/maplespread/registry/View.java
+++ b/src/main/java/maplespread/registry/View.java
@@ -172,9 +172,9 @@
     }
 
     /**
-     * Whether what is read cannot be of the history held up to {@code revision}: a key that was changed before
-     * that and is not held so. Guards against a registry that was restored and has come further since, whose
-     * revisions alone look right.
+     * Whether what is read cannot be of the history held up to {@code revision}: a key that was changed
+     * before that and is not held so. Guards against a registry that was restored and has come further
+     * since, whose revisions alone look right.
      */
     boolean contradicted(int part, Map<String, Item> fresh, long revision) {
         Map<String, Held> held = parts.get(part);
--- a/src/main/java/maplespread/registry/client/RegistryLink.java
+++ b/src/main/java/maplespread/registry/client/RegistryLink.java
@@ -162,7 +162,7 @@
     private void send(String endpoint, Request request) throws IOException, Failed {
         boolean kept = link != null && endpoint.equals(to);
         if (kept && System.nanoTime() - usedAt > TRUSTED_NANOS && link.stale()) {
-            // Told as a break, not dialled anew in silence: what lies behind the address may be another history.
+            // Told as a break, not dialled anew in silence: another history may answer at the address.
             throw new IOException("the connection had ended");
         }
         if (!kept) {
--- /dev/null
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -0,0 +1,81 @@
+package maplespread.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import maplespread.registry.RegistrySettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class OperatorReaderTest {
+    private static final String GOOD = "{'log':{'form':'json'},'registry':{'dialect':'etcd',"
+        + "'endpoints':['127.0.0.1:2379'],'follow':['/a/']}}";
+
+    private static Operator read(String text) throws ConfigError {
+        return OperatorReader.text(text.replace('\'', '"'));
+    }
+
+    @Test
+    void defaultsAreThoseOfTheToolsAndAnEmptyFileTurnsNothingOn() throws Exception {
+        Operator o = read(GOOD);
+        assertTrue(o.jsonLog());
+        assertEquals(RegistrySettings.of(RegistrySettings.Dialect.ETCD, java.util.List.of("127.0.0.1:2379"),
+            java.util.List.of("/a/")), o.registry());
+        assertNull(read("{}").registry());
+        assertEquals(Operator.NONE, OperatorReader.file(null));
+    }
+
+    /** Each fault is named by its key, and a mistyped key by the one that was meant. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'etcd'                    | 'ectd'               | registry.dialect: must be one of",
+        "'endpoints'               | 'endpoint'           | registry.endpoints: must be a list",
+        "['127.0.0.1:2379']        | []                   | registry.endpoints: must be a list",
+        "127.0.0.1:2379            | localhost:2379       | registry.endpoints: not a numeric address",
+        "['/a/']                   | ['/a/','/a/b/']      | registry.follow: /a/b/ lies within /a/",
+        "['/a/']                   | ['/a/','/a/']        | registry.follow: /a/ stands twice",
+        "['/a/']                   | ['']                 | registry.follow: each entry",
+        "'follow':['/a/']          | 'follow':['/a/'],'pgae':3 | registry.pgae: is not known; did you mean",
+        "'follow':['/a/']          | 'follow':['/a/'],'page':0 | registry.page: must be a whole number from",
+        "'follow':['/a/']          | 'follow':['/a/'],'page':1.5 | registry.page: must be a whole number",
+        "'follow':['/a/']          | 'follow':['/a/'],'wait_ms':'x' | registry.wait_ms: not a number",
+        "{'form':'json'}           | {'form':'xml'}       | log.form: must be one of",
+        "{'form':'json'}           | 3                    | log: must be an object",
+        "'log'                     | 'logs'               | logs: is not known; did you mean log?"})
+    void faultsAreNamed(String part, String instead, String message) {
+        String text = GOOD.replace(part.strip(), instead.strip());
+        ConfigError e = assertThrows(ConfigError.class, () -> read(text));
+        assertTrue(e.getMessage().startsWith(message.strip()), e.getMessage());
+    }
+
+    @Test
+    void whatIsNoFileOrNoObjectIsSaid() {
+        assertTrue(assertThrows(ConfigError.class, () -> OperatorReader.file("/nowhere/at.all")).getMessage()
+            .startsWith("operator: cannot read"));
+        assertTrue(assertThrows(ConfigError.class, () -> read("[]")).getMessage()
+            .contains("not a JSON object"));
+    }
+
+    /** The example and the operators' page may neither miss a key nor name one that is none. */
+    @Test
+    void theExampleAndThePageHaveEveryKey() throws Exception {
+        String example = Files.readString(Path.of("deploy/operator.json"));
+        Operator o = OperatorReader.text(example);
+        JsonObject registry = JsonParser.parseString(example).getAsJsonObject().getAsJsonObject("registry");
+        assertEquals(RegistrySettings.class.getRecordComponents().length, registry.size());
+        String page = Files.readString(Path.of("docs/operators/registry.md"));
+        for (String key : registry.keySet()) {
+            assertTrue(page.contains("| `" + key + "` |"), key);
+        }
+        RegistrySettings r = o.registry();
+        assertEquals(RegistrySettings.of(r.dialect(), r.endpoints(), r.follow()).toString(),
+            r.toString().replace(r.tokenFile(), ""), "it shows the defaults");
+    }
+}
--- a/src/test/java/maplespread/registry/RegistryModelTest.java
+++ b/src/test/java/maplespread/registry/RegistryModelTest.java
@@ -24,8 +24,8 @@
 import net.jqwik.api.constraints.Size;
 
 /**
- * Random histories of a registry and its faults against the plain truth. Each operation is one number: what it
- * is, and which worker it concerns.
+ * Random histories of a registry and its faults against the plain truth. Each operation is one number: what
+ * it is, and which worker it concerns.
  */
 class RegistryModelTest {
     private static final String[] PREFIXES = {"/a/", "/b/"};
@@ -52,8 +52,8 @@
         Store.Backup backup;
 
         World(Dialect dialect) {
-            settings = new RegistrySettings(dialect, List.of("one:1", "two:2"), List.of(PREFIXES), "", 3, 2000,
-                500, 300, 2000, 3000, 4000, 1000, 5000, 60_000);
+            settings = new RegistrySettings(dialect, List.of("one:1", "two:2"), List.of(PREFIXES), "", 3,
+                2000, 500, 300, 2000, 3000, 4000, 1000, 5000, 60_000);
             members.add(new VirtualRegistry.Member(store));
             members.add(new VirtualRegistry.Member(store));
             registry = new VirtualRegistry(settings, members);
@@ -266,7 +266,8 @@
     }
 
     @Property(tries = 12_000, seed = "20261201", shrinking = ShrinkingMode.BOUNDED)
-    void etcdEndsWhereTheStoreIs(@ForAll @Size(max = 70) List<@IntRange(max = 32 * WORKERS - 1) Integer> ops) {
+    void etcdEndsWhereTheStoreIs(
+            @ForAll @Size(max = 70) List<@IntRange(max = 32 * WORKERS - 1) Integer> ops) {
         play(Dialect.ETCD, ops);
     }
 
