Read Consul's keys without a tree, and judge a lagging member's rebuild by a test

Consul's whole lists were read as JSON trees and every value decoded, though most of a list is old news; and of the faults put in on purpose, a rebuild from a lagging member was seen by no test.

--- a/src/main/java/maplespread/registry/Item.java
+++ b/src/main/java/maplespread/registry/Item.java
@@ -10,27 +10,32 @@
     private final String key;
     private final long revision;
     private final boolean deleted;
+    private final int print;
     private Supplier<String> source;
     private String text;
 
-    private Item(String key, long revision, boolean deleted, Supplier<String> source) {
+    private Item(String key, long revision, boolean deleted, int print, Supplier<String> source) {
         this.key = key;
         this.revision = revision;
         this.deleted = deleted;
+        this.print = print;
         this.source = source;
     }
 
     public static Item of(String key, String text, long revision) {
-        return new Item(key, revision, false, () -> text);
+        return new Item(key, revision, false, text.hashCode(), () -> text);
     }
 
-    /** {@code text} may fail with any runtime exception: the value is then one that cannot be read. */
-    public static Item lazy(String key, long revision, Supplier<String> text) {
-        return new Item(key, revision, false, text);
+    /**
+     * {@code text} may fail with any runtime exception: the value is then one that cannot be read. {@code
+     * print}: a hash of the value as it came, the same whenever the value is.
+     */
+    public static Item lazy(String key, long revision, int print, Supplier<String> text) {
+        return new Item(key, revision, false, print, text);
     }
 
     public static Item deleted(String key, long revision) {
-        return new Item(key, revision, true, null);
+        return new Item(key, revision, true, 0, null);
     }
 
     public String key() {
@@ -45,6 +50,11 @@
         return deleted;
     }
 
+    /** A hash of the value, had without decoding it. */
+    public int print() {
+        return print;
+    }
+
     public String text() {
         if (source != null) {
             text = source.get();
--- a/src/main/java/maplespread/registry/RegistryCore.java
+++ b/src/main/java/maplespread/registry/RegistryCore.java
@@ -496,7 +496,8 @@
             sink.event(false, "registry.silent", "endpoint", endpointName(), "revision", revision());
         } else if (how != End.DONE && how != End.STOPPED) {
             sink.event(true, how == End.DENIED ? "registry.denied" : "registry.broken", "endpoint",
-                endpointName(), "how", how, "phase", phase, "revision", revision());
+                endpointName(), "how", how, "phase", phase, "revision", revision(),
+                "unheard_ms", now - heardAt);
             broke = true;
         }
         if (now >= preferAt) {
--- a/src/main/java/maplespread/registry/View.java
+++ b/src/main/java/maplespread/registry/View.java
@@ -32,7 +32,7 @@
         final int part;
         final String key;
         long revision;
-        int hash;                                                // of the value last seen, readable or not
+        int print;                                               // of the value last seen, readable or not
         long readAt;                                             // when its route was last read, as a count
         Route route;                                             // null: no value of it could be read yet
         long orphanUntil = Long.MAX_VALUE;
@@ -189,16 +189,7 @@
     }
 
     private static boolean same(Held h, Item item) {
-        return h.revision == item.revision() && h.hash == hash(item);
-    }
-
-    /** Of the value; one that cannot even be decoded counts as empty. */
-    private static int hash(Item item) {
-        try {
-            return item.text().hashCode();
-        } catch (RuntimeException e) {
-            return 0;
-        }
+        return h.revision == item.revision() && h.print == item.print();
     }
 
     /** Lets go of workers that a restored registry has not come to know in time. */
@@ -222,7 +213,7 @@
     private void put(int part, Item item, Set<String> touched) {
         Held h = parts.get(part).computeIfAbsent(item.key(), k -> new Held(part, k));
         h.revision = item.revision();
-        h.hash = hash(item);
+        h.print = item.print();
         if (orphans.remove(h)) {
             h.orphanUntil = Long.MAX_VALUE;
         }
--- a/src/main/java/maplespread/registry/wire/ConsulWire.java
+++ b/src/main/java/maplespread/registry/wire/ConsulWire.java
@@ -4,6 +4,10 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.IOException;
+import java.io.StringReader;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -110,18 +114,50 @@
     public static List<Item> keys(String body) throws WireError {
         try {
             List<Item> items = new ArrayList<>();
-            for (JsonElement e : array(body)) {
-                JsonObject o = e.getAsJsonObject();
-                items.add(Item.lazy(o.get("Key").getAsString(), o.get("ModifyIndex").getAsLong(), () ->
-                    new String(Base64.getDecoder().decode(o.get("Value").getAsString()),
-                        StandardCharsets.UTF_8)));
+            if (body.isBlank()) {
+                return items;
+            }
+            // Read without a tree: the list comes whole at each change, and most of it is old news.
+            JsonReader in = new JsonReader(new StringReader(body));
+            in.beginArray();
+            while (in.hasNext()) {
+                items.add(key(in));
             }
+            in.endArray();
             return items;
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             throw new WireError("not a list of keys", e);
         }
     }
 
+    private static Item key(JsonReader in) throws IOException {
+        String key = null;
+        String value = null;
+        long index = -1;
+        in.beginObject();
+        while (in.hasNext()) {
+            switch (in.nextName()) {
+                case "Key" -> key = in.nextString();
+                case "ModifyIndex" -> index = in.nextLong();
+                case "Value" -> {
+                    if (in.peek() == JsonToken.NULL) {
+                        in.nextNull();                           // a key without a value
+                    } else {
+                        value = in.nextString();
+                    }
+                }
+                default -> in.skipValue();
+            }
+        }
+        in.endObject();
+        if (key == null || index < 0) {
+            throw new IllegalArgumentException("a key without its Key or ModifyIndex");
+        }
+        String coded = value == null ? "" : value;
+        return Item.lazy(key, index, coded.hashCode(), () ->
+            new String(Base64.getDecoder().decode(coded), StandardCharsets.UTF_8));
+    }
+
     /**
      * The instances of an answer. Its entries have several indexes, of the node, the service and each check:
      * the latest is the entry's, and the number of its checks is part of it, since a check that is removed
@@ -141,7 +177,7 @@
                 }
                 String key = service.get("Service").getAsString() + '/' + node.get("Node").getAsString() + '/'
                     + service.get("ID").getAsString();
-                items.add(Item.lazy(key, latest * 64 + Math.min(63, checks.size()), () ->
+                items.add(Item.lazy(key, latest * 64 + Math.min(63, checks.size()), 0, () ->
                     instance(service, node, checks)));
             }
             return items;
--- a/src/main/java/maplespread/registry/wire/EtcdWire.java
+++ b/src/main/java/maplespread/registry/wire/EtcdWire.java
@@ -263,7 +263,8 @@
     }
 
     private static Item item(JsonObject kv) {
-        return Item.lazy(text(kv, "key"), number(kv, "mod_revision"), () -> text(kv, "value"));
+        int print = kv.has("value") ? kv.get("value").getAsString().hashCode() : 0;
+        return Item.lazy(text(kv, "key"), number(kv, "mod_revision"), print, () -> text(kv, "value"));
     }
 
     private static String text(JsonObject o, String name) {
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -92,6 +92,20 @@
         assertEquals(90, core.revision());
     }
 
+    @Test
+    void aRebuildFromAMemberThatLagsChangesNothing() {
+        RegistryCore core = following();
+        core.changes(now, history(20), 0, List.of(Item.of("/w/a", "DRAINING", 20)), false);
+        core.canceled(now, 30, "");
+        core.ended(now, End.STOPPED);
+        now += 1000;
+        assertInstanceOf(Ask.Range.class, core.next(now));
+        assertFalse(core.page(now, history(15), List.of(Item.of("/w/a", "SERVING", 10)), false));
+        core.ended(now, End.STOPPED);
+        assertEquals(2, news.size());
+        assertEquals(20, core.revision());
+    }
+
     @Test
     void anotherClusterIsBelievedOnlyAfterAWhile() {
         RegistryCore core = following();
