Tests for pages read before a break and for values that cannot be read

Two faults put in on purpose were seen by no test, and half revisions were dropped in two places. Each now has a small test and one place.

--- a/src/main/java/maplespread/registry/RegistryCore.java
+++ b/src/main/java/maplespread/registry/RegistryCore.java
@@ -172,7 +172,7 @@
     }
 
     private Ask watch(int endpoint) {
-        fragments.forEach(List::clear);
+        fragments.forEach(List::clear);                          // half a revision is none
         List<Long> from = new ArrayList<>();
         for (long done : at) {
             from.add(done + 1);
@@ -449,7 +449,6 @@
     public void ended(long now, End how) {
         int endpoint = endpoint();
         boolean watching = out instanceof Ask.Watch;
-        fragments.forEach(List::clear);                          // half a revision is none
         denied = how == End.DENIED;
         boolean silent = false;
         boolean cut = how == End.BROKEN || how == End.SILENT || how == End.REFUSED;
--- a/src/main/java/maplespread/registry/RegistrySettings.java
+++ b/src/main/java/maplespread/registry/RegistrySettings.java
@@ -10,8 +10,8 @@
  * {@code silenceMs} after which a watch that says nothing is replaced, {@code waitMs} that a blocking
  * question asks for, {@code preferAgainMs} after which a better endpoint is tried again,
  * {@code restoreAfterMs} after which a history that has gone back is believed, {@code forgetAfterMs} for
- * which workers absent from a restored history are kept, {@code notReadyAfterMs} after which an old view makes the
- * dispatcher unready (0: never).
+ * which workers absent from a restored history are kept, {@code notReadyAfterMs} after which an old view
+ * makes the dispatcher unready (0: never).
  */
 public record RegistrySettings(Dialect dialect, List<String> endpoints, List<String> follow, String tokenFile,
         int page, int requestsPerS, long dialMs, long answerMs, long silenceMs, long waitMs,
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -106,6 +106,29 @@
         assertEquals(20, core.revision());
     }
 
+    @Test
+    void pagesReadBeforeABreakAreOfNoUse() {
+        RegistryCore core = core(RegistrySettings.of(Dialect.ETCD, List.of("a:1"), List.of("/w/")), 1);
+        core.next(now);
+        assertTrue(core.page(now, history(10), List.of(Item.of("/w/a", "SERVING", 10)), true));
+        core.ended(now, End.DONE);
+        assertEquals(new Ask.Range(0, 0, "/w/a", 10, 1000), core.next(now));
+        core.ended(now, End.BROKEN);
+        now += 10_000;
+        assertEquals(new Ask.Range(0, 0, "", 0, 2000), core.next(now));
+    }
+
+    @Test
+    void aValueThatCannotBeReadCostsItsOwnChangeOnly() {
+        RegistryCore core = following();
+        core.changes(now, history(11), 0, List.of(Item.of("/w/a", "?", 11), Item.of("/w/b", "SERVING", 11)),
+            false);
+        assertEquals(List.of("/w/b"), news.get(1).routes().stream().map(Route::worker).toList());
+        assertTrue(events.contains("registry.unreadable"));
+        core.changes(now, history(12), 0, List.of(Item.of("/w/a", "DRAINING", 12)), false);
+        assertEquals(Route.State.DRAINING, news.get(2).routes().get(0).state());
+    }
+
     @Test
     void anotherClusterIsBelievedOnlyAfterAWhile() {
         RegistryCore core = following();
