Membership by SWIM with Lifeguard, and election by leases that cut the clocks' drift

The moving service address needs to know who is there and who may own it, without two owners in a split.

--- /dev/null
+++ b/src/main/java/maplespread/address/Ballot.java
@@ -0,0 +1,12 @@
+package maplespread.address;
+
+/**
+ * What candidates and electors say. {@code from} and {@code boot}: one run of one instance; {@code term}:
+ * of the lease that is asked for, granted or given up, or the highest known where it is refused; {@code
+ * seq}: of the request; {@code holder}: REFUSE: who has this elector's vote, GIVE_UP: who is to have it
+ * next; {@code leftMs}: REFUSE: for how long.
+ */
+public record Ballot(Kind kind, String from, long boot, long term, long seq, String holder, long leftMs) {
+    /** TAKE_OVER asks the owner to give up for a candidate that is preferred. */
+    public enum Kind { REQUEST, GRANT, REFUSE, GIVE_UP, TAKE_OVER }
+}
--- /dev/null
+++ b/src/main/java/maplespread/membership/Update.java
@@ -0,0 +1,33 @@
+package maplespread.membership;
+
+/**
+ * One member's state as somebody tells it. {@code boot}: when that run of it began, in Unix milliseconds,
+ * which tells two runs of one name apart; {@code incarnation}: raised by the member itself alone; {@code
+ * by}: who suspects it.
+ */
+public record Update(String name, String address, State state, long boot, long incarnation, String by) {
+    /** SUSPECT: it has not answered, and may yet refute that. LEFT: it has said so itself. */
+    public enum State { ALIVE, SUSPECT, DEAD, LEFT }
+
+    boolean gone() {
+        return state == State.DEAD || state == State.LEFT;
+    }
+
+    Update as(State next, String suspecter) {
+        return new Update(name, address, next, boot, incarnation, suspecter);
+    }
+
+    /** Whether this is news to one who holds the other: SWIM's order of precedence. */
+    boolean overrides(Update held) {
+        if (boot != held.boot) {
+            return boot > held.boot;
+        }
+        if (held.state == State.LEFT) {
+            return false;                                        // that run of it never comes back
+        }
+        if (incarnation != held.incarnation) {
+            return incarnation > held.incarnation;
+        }
+        return state.ordinal() > held.state.ordinal();
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/membership/client/Group.java
@@ -0,0 +1,161 @@
+package maplespread.membership.client;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import maplespread.log.Event;
+import maplespread.membership.Membership;
+import maplespread.membership.MembershipSettings;
+import maplespread.membership.MembershipSink;
+import maplespread.membership.Message;
+import maplespread.membership.Sealed;
+import maplespread.membership.Update;
+
+/** One member on a UDP socket. A thread receives, another ticks; both enter the core under one lock. */
+public final class Group implements Closeable {
+    private static final int MOST_BYTES = 64 * 1024;
+    private static final long STACK = 144 * 1024;
+    private static final long FRESH_MS = 30_000;
+    private final DatagramSocket socket;
+    private final Membership core;
+    private final Sealed sealed;
+    private final List<BiConsumer<Update, Update>> listeners = new CopyOnWriteArrayList<>();
+    private boolean over;
+
+    /** Listens at once, and joins; {@code keys} by id, the first seals. */
+    public Group(MembershipSettings set, LinkedHashMap<Integer, byte[]> keys, long seed) throws IOException {
+        long boot = System.currentTimeMillis();
+        sealed = new Sealed(set.name(), set.address(), boot, FRESH_MS);
+        sealed.keys(keys);
+        socket = new DatagramSocket(address(set.address()));
+        core = new Membership(set, boot, seed, now(), new MembershipSink() {
+            @Override public void send(String to, Message message) {
+                Group.this.send(to, message);
+            }
+
+            @Override public void changed(Update before, Update after) {
+                Event.of("membership.changed", "member", after.name(), "state", after.state(), "address",
+                    after.address(), "incarnation", after.incarnation(), "by", after.by()).info();
+                listeners.forEach(l -> l.accept(before, after));
+            }
+
+            @Override public void event(boolean warning, String name, Object... pairs) {
+                Event e = Event.of(name, pairs);
+                if (warning) {
+                    e.warn();
+                } else {
+                    e.info();
+                }
+            }
+        });
+        daemon("membership in", this::receive);
+        daemon("membership", this::tick);
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+                Integer.parseInt(text.substring(colon + 1)));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not an address: " + text);
+        }
+    }
+
+    private void daemon(String name, Runnable work) {
+        Thread t = new Thread(null, work, name, STACK);
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** Hears of each change, under the group's lock: must be quick, and must not call back. */
+    public void listen(BiConsumer<Update, Update> listener) {
+        listeners.add(listener);
+    }
+
+    /** Other keys from now on; see {@link Sealed#keys}. */
+    public synchronized void keys(LinkedHashMap<Integer, byte[]> keys) {
+        sealed.keys(keys);
+    }
+
+    /** All that are known, this one first. */
+    public synchronized List<Update> members() {
+        List<Update> all = new ArrayList<>(List.of(core.self()));
+        all.addAll(core.members());
+        return all;
+    }
+
+    /** How many packets were dropped for what. */
+    public synchronized Map<Sealed.Drop, Long> dropped() {
+        return sealed.dropped();
+    }
+
+    private void send(String to, Message message) {
+        byte[] packet = sealed.seal(message, System.currentTimeMillis());
+        try {
+            socket.send(new DatagramPacket(packet, packet.length, address(to)));
+        } catch (IOException | IllegalArgumentException e) {     // as good as lost on its way
+            return;
+        }
+    }
+
+    private void receive() {
+        byte[] buffer = new byte[MOST_BYTES];
+        while (!socket.isClosed()) {
+            try {
+                DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+                socket.receive(packet);
+                synchronized (this) {
+                    Sealed.Opened o = sealed.open(buffer, packet.getLength(), System.currentTimeMillis());
+                    if (o != null && !over) {
+                        core.received(now(), o.from(), o.address(), o.message());
+                        notifyAll();
+                    }
+                }
+            } catch (IOException e) {
+                // closed, or a passing fault of the socket: the next packet tells
+            } catch (RuntimeException e) {                       // no one message may end the thread
+                Event.of("membership.fault", "why", e).error();
+            }
+        }
+    }
+
+    private synchronized void tick() {
+        while (!over) {
+            try {
+                long at = core.tick(now());
+                wait(Math.max(1, Math.min(1000, at - now())));
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                Event.of("membership.fault", "why", e).error();
+            }
+        }
+    }
+
+    /** Says good-bye. */
+    @Override public void close() {
+        synchronized (this) {
+            if (over) {
+                return;
+            }
+            core.leave(now());
+            over = true;
+            notifyAll();
+        }
+        socket.close();
+    }
+}
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -129,6 +129,25 @@
         assertEquals(Route.State.DRAINING, news.get(2).routes().get(0).state());
     }
 
+    @Test
+    void absenceFromARestoredHistoryIsNobodysWordForAWhile() {
+        RegistryCore core = following();
+        core.ended(now, End.BROKEN);
+        now += 1000;
+        core.next(now);
+        core.checked(now, history(20), List.of(0L), java.util.Collections.singletonList(null), false);
+        core.ended(now, End.STOPPED);
+        now += 1000;
+        assertInstanceOf(Ask.Range.class, core.next(now));
+        core.page(now, history(20), List.of(Item.of("/w/b", "SERVING", 15)), false);
+        core.ended(now, End.DONE);
+        assertEquals(List.of("/w/b"), news.get(1).routes().stream().map(Route::worker).toList());
+        now += 15_000;
+        core.next(now);
+        assertEquals(Route.State.DELETED, news.get(2).routes().get(0).state());
+        assertEquals("/w/a", news.get(2).routes().get(0).worker());
+    }
+
     @Test
     void anotherClusterIsBelievedOnlyAfterAWhile() {
         RegistryCore core = following();
