--- a/src/main/java/maplespread/address/Election.java
+++ b/src/main/java/maplespread/address/Election.java
@@ -48,6 +48,7 @@
     private String owner = "";
     private long ownerSeenAt;
     private final Set<String> granted = new HashSet<>();
+    private final Set<String> refused = new HashSet<>();
     private boolean over;
 
     /** {@code boot} tells runs of one name apart; {@code now}: of a monotonic clock. */
@@ -103,10 +104,7 @@
                     role = Role.FOLLOWING;
                     nextAt = now + delay(0);
                 }
-                case ASKING -> {                                 // no majority in time
-                    role = Role.FOLLOWING;
-                    nextAt = now + delay(set.renewMs());
-                }
+                case ASKING -> retreat(now);                     // no majority in time
                 case FOLLOWING -> follow(now, wallMs);
             }
         }
@@ -140,6 +138,7 @@
         seq++;
         askedAt = now;
         granted.clear();
+        refused.clear();
         nextAt = now + (first ? set.leaseMs() / 2 : set.renewMs());
         Ballot b = new Ballot(Kind.REQUEST, set.name(), boot, term, seq, "", 0);
         for (String to : set.electors()) {
@@ -237,13 +236,27 @@
 
     private void refused(long now, Ballot b) {
         highest = Math.max(highest, b.term());
-        if (b.seq() != seq) {
+        if (b.seq() != seq || role != Role.ASKING) {
             return;
         }
-        if (!b.holder().isEmpty() && !b.holder().equals(set.name()) && role == Role.ASKING) {
+        refused.add(b.from());
+        if (!b.holder().isEmpty() && !b.holder().equals(set.name())) {
             owner = b.holder();
             ownerSeenAt = now;
         }
+        if (refused.size() > set.electors().size() - set.majority()) {
+            retreat(now);
+        }
+    }
+
+    /**
+     * No majority is to be had: the votes that were given are given back, or they would stand in everybody's way
+     * for a lease. Grants that are still on their way count for nothing from here on.
+     */
+    private void retreat(long now) {
+        role = Role.FOLLOWING;
+        nextAt = now + delay(set.renewMs() / 2);
+        giveUp(now, "");
     }
 
     /** The owner has given its lease up: its vote here is free, for the successor first. */
@@ -271,9 +284,12 @@
         if (role != Role.ELECTED) {
             return;
         }
-        long was = term;
         lose(now, "given up", successor);
-        Ballot b = new Ballot(Kind.GIVE_UP, set.name(), boot, was, seq, successor, 0);
+        giveUp(now, successor);
+    }
+
+    private void giveUp(long now, String successor) {
+        Ballot b = new Ballot(Kind.GIVE_UP, set.name(), boot, term, seq, successor, 0);
         Set<String> all = new HashSet<>(set.electors());
         all.addAll(set.candidates());
         List<String> others = new ArrayList<>(all);
--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -1,6 +1,7 @@
 package maplespread.cli;
 
 import java.util.concurrent.Callable;
+import maplespread.lab.AddressMeasure;
 import maplespread.lab.RegistryMeasure;
 import maplespread.lab.Report;
 import picocli.CommandLine;
@@ -10,7 +11,7 @@
 /** Measurements that anyone can repeat. */
 @Command(name = "measure", mixinStandardHelpOptions = true,
     description = "Measures a part against its aims; exit status 1 where one is missed.",
-    subcommands = Measure.Registry.class)
+    subcommands = {Measure.Registry.class, Measure.Address.class})
 final class Measure implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -19,22 +20,39 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "name what is to be measured");
     }
 
-    @Command(name = "registry", mixinStandardHelpOptions = true,
-        description = "How soon and at what cost a dispatcher learns what a registry holds.")
-    static final class Registry implements Callable<Integer> {
-        @Option(names = "--quick", description = "Ends within 45 s.")
-        private boolean quick;
+    /** What all measurements have in common. */
+    abstract static class Part implements Callable<Integer> {
+        @Option(names = "--quick", description = "Ends within 50 s.")
+        boolean quick;
         @Option(names = "--json", paramLabel = "FILE", description = "Writes all figures there, too.")
         private String json;
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
+        abstract void run(Report report) throws Exception;
+
         @Override public Integer call() throws Exception {
-            // The stand-in breaks on purpose; what the log says of that is not part of the table.
+            // Stand-ins break on purpose; what the log says of that is not part of the table.
             org.tinylog.configuration.Configuration.set("level", "off");
-            Report report = new Report("registry", spec.commandLine().getOut());
-            new RegistryMeasure(quick, report).run();
+            Report report = new Report(spec.name(), spec.commandLine().getOut());
+            run(report);
             return report.end(json) ? 0 : 1;
         }
     }
+
+    @Command(name = "registry", mixinStandardHelpOptions = true,
+        description = "How soon and at what cost a dispatcher learns what a registry holds.")
+    static final class Registry extends Part {
+        @Override void run(Report report) throws Exception {
+            new RegistryMeasure(quick, report).run();
+        }
+    }
+
+    @Command(name = "address", mixinStandardHelpOptions = true,
+        description = "How long nobody owns the service address, and what the membership costs.")
+    static final class Address extends Part {
+        @Override void run(Report report) {
+            new AddressMeasure(quick, report).run();
+        }
+    }
 }
