--- a/src/main/java/maplespread/address/Election.java
+++ b/src/main/java/maplespread/address/Election.java
@@ -250,8 +250,8 @@
     }
 
     /**
-     * No majority is to be had: the votes that were given are given back, or they would stand in everybody's way
-     * for a lease. Grants that are still on their way count for nothing from here on.
+     * No majority is to be had: the votes that were given are given back, or they would stand in
+     * everybody's way for a lease. Grants that are still on their way count for nothing from here on.
      */
     private void retreat(long now) {
         role = Role.FOLLOWING;
