The stand-in registry comes up again only when its port is free, also on one core

On one core two stories of lost data failed in binding: the thread that accepts had not yet left the port, and a client that dials a closed port of loopback may be given that port itself. Going down now waits for the thread, and coming up tries again.

--- a/src/main/java/maplespread/lab/registry/StandInRegistry.java
+++ b/src/main/java/maplespread/lab/registry/StandInRegistry.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -34,6 +35,7 @@
 public final class StandInRegistry implements Closeable {
     private static final int MOST_BODY = 4 << 20;
     private static final long IDLE_MS = 600_000;
+    private static final long UP_NANOS = 5_000_000_000L;
     private static final int MOST_EVENTS = 1000;                 // in one line of a watch
     private static final String SERVICE = "\u0001service/";      // where Consul's instances are kept
 
@@ -41,6 +43,7 @@
     private final Set<HttpConnection> links = ConcurrentHashMap.newKeySet();
     private final int port;
     private volatile ServerSocket socket;
+    private volatile Thread acceptor;
     /** What goes wrong here. */
     public final Faults faults;
     /** Requests that came, watches among them. */
@@ -71,15 +74,33 @@
 
     /** Listens again at the same address. */
     public void up() throws IOException {
-        ServerSocket next = new ServerSocket();
-        next.setReuseAddress(true);
-        next.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024);
-        listen(next);
+        long end = System.nanoTime() + UP_NANOS;
+        while (true) {
+            ServerSocket next = new ServerSocket();
+            try {
+                next.setReuseAddress(true);
+                next.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024);
+                listen(next);
+                return;
+            } catch (BindException e) {
+                // A client that dials a closed port of loopback may, by chance, be given that very port.
+                next.close();
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
     }
 
     /** Refuses connections, and breaks all that are open. */
     public void down() throws IOException {
         socket.close();
+        try {
+            acceptor.join();                                     // the port is free only when it has left
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         cutAll();
     }
 
@@ -91,7 +112,7 @@
 
     private void listen(ServerSocket at) {
         socket = at;
-        daemon("registry " + port, () -> {
+        acceptor = daemon("registry " + port, () -> {
             while (true) {
                 HttpConnection link = new HttpConnection(at.accept());
                 links.add(link);
@@ -107,7 +128,7 @@
         void run() throws Exception;
     }
 
-    private static void daemon(String name, Work work) {
+    private static Thread daemon(String name, Work work) {
         Thread t = new Thread(null, () -> {
             try {
                 work.run();
@@ -117,6 +138,7 @@
         }, name, 256 * 1024);
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     private void serve(HttpConnection link) throws Exception {
