Keep the listener open while open connections are served after SIGTERM

On half a core the program may stand for up to a tenth of a second between its last look and the close.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -213,10 +213,12 @@
             long end = start + config.times().endMs() * ms;
             lastUs = dispatcher.nowUs() + (config.times().endMs() - LAST_MS) * 1000;
             Thread.sleep(config.times().acceptMs());
-            listener.close();
             while (listener.size() > 0 && System.nanoTime() - start < config.times().holdMs() * ms) {
                 Thread.sleep(10);
             }
+            // Not before: closing resets what the system has accepted and this program not yet, and on a part
+            // of a core it may not run for a tenth of a second between the two.
+            listener.close();
             lifecycle.enter(Lifecycle.Phase.FINISHING);
             while ((listener.endIdle() > 0 || !listener.closed()) && System.nanoTime() < end) {
                 Thread.sleep(10);
