A story for connections that come late in a shutdown

The story of a planned restart expected nobody new after the first moment. It now brings a newcomer past it, who must be served, and expects the listener closed once what was taken is being finished.

--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -419,8 +419,9 @@
     }
 
     /**
-     * Guards clients and taken work at a planned restart: nothing new is let in, open connections are served
-     * on for a while, what was taken is finished, and only then are clients told to go elsewhere.
+     * Guards clients and taken work at a planned restart: open connections are served on for a while, and so
+     * are those that come late, which a listener closed sooner would reset; then nothing new is let in, what
+     * was taken is finished, and clients are told to go elsewhere.
      */
     @Test public void aStopServesOpenConnectionsOnAndFinishesWhatWasTaken() throws Exception {
         try (Peer worker = new Peer(DONE);
@@ -429,14 +430,12 @@
             Loopback.daemon(here.server::stop);
             here.server.lifecycle().await(Phase.DRAINING);
             assertEquals("no longer ready", 503, ready(late));
-            until("nobody new is let in", () -> {
-                try {
-                    here.new Client().close();
-                    return false;
-                } catch (IOException e) {
-                    return true;
-                }
-            });
+            long draining = System.nanoTime();
+            until("the first moment is over", () -> System.nanoTime() - draining > 200_000_000L);
+            try (Client newcomer = here.new Client()) {
+                assertEquals(200, newcomer.status(job("page", "n", 4000)));
+                worker.next();
+            }
             Call served = late.send(job("page", "t", 4000)).answer();
             assertEquals(200, served.head.status());
             assertTrue("served on", served.head.keepsAlive());
@@ -445,6 +444,14 @@
             waiting.send(job("order", "u", 4000));
             Call held = worker.next();
             here.server.lifecycle().await(Phase.FINISHING);
+            until("nobody new is let in", () -> {
+                try {
+                    here.new Client().close();
+                    return false;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
             assertEquals(Phase.FINISHING, here.server.lifecycle().phase());
             held.open();
             held.done("ok");
