A faulty operators' file at SIGHUP changes nothing: a story; two repeats made one

No test brought a faulty operators' file at a reload. One does now: the registry goes on, and the next good file counts. Draining and removing workers share their loop, cores' events one way into the log.

--- a/src/main/java/maplespread/cli/RegistryCommands.java
+++ b/src/main/java/maplespread/cli/RegistryCommands.java
@@ -191,18 +191,22 @@
         }
     }
 
-    @Command(name = "drain", mixinStandardHelpOptions = true,
-        description = "Has workers drain: they finish what they hold and get nothing new.")
-    static final class Drain extends Which implements Callable<Integer> {
+    /** Something done to each of several workers; exit status 1 where one is not there. */
+    abstract static class Each extends Which implements Callable<Integer> {
         @Parameters(arity = "1..*", paramLabel = "WORKER")
         private List<String> workers;
 
+        /** False: it is not there. */
+        abstract boolean done(RegistryAdmin admin, String worker) throws RegistryAdmin.NotDone;
+
+        abstract String word();
+
         @Override public Integer call() throws Exception {
             int status = 0;
             try (RegistryAdmin admin = new RegistryAdmin(settings())) {
                 for (String worker : workers) {
-                    boolean done = admin.drain(worker);
-                    out().println(worker + (done ? " drains" : " is not there"));
+                    boolean done = done(admin, worker);
+                    out().println(worker + (done ? word() : " is not there"));
                     status = done ? status : 1;
                 }
             }
@@ -210,21 +214,26 @@
         }
     }
 
+    @Command(name = "drain", mixinStandardHelpOptions = true,
+        description = "Has workers drain: they finish what they hold and get nothing new.")
+    static final class Drain extends Each {
+        @Override boolean done(RegistryAdmin admin, String worker) throws RegistryAdmin.NotDone {
+            return admin.drain(worker);
+        }
+
+        @Override String word() {
+            return " drains";
+        }
+    }
+
     @Command(name = "rm", mixinStandardHelpOptions = true, description = "Removes workers.")
-    static final class Remove extends Which implements Callable<Integer> {
-        @Parameters(arity = "1..*", paramLabel = "WORKER")
-        private List<String> workers;
+    static final class Remove extends Each {
+        @Override boolean done(RegistryAdmin admin, String worker) throws RegistryAdmin.NotDone {
+            return admin.remove(worker);
+        }
 
-        @Override public Integer call() throws Exception {
-            int status = 0;
-            try (RegistryAdmin admin = new RegistryAdmin(settings())) {
-                for (String worker : workers) {
-                    boolean done = admin.remove(worker);
-                    out().println(worker + (done ? " is removed" : " is not there"));
-                    status = done ? status : 1;
-                }
-            }
-            return status;
+        @Override String word() {
+            return " is removed";
         }
     }
 
--- a/src/main/java/maplespread/log/Event.java
+++ b/src/main/java/maplespread/log/Event.java
@@ -43,6 +43,16 @@
         return e;
     }
 
+    /** Writes an event with its pairs, as information or as a warning: for the sinks of I/O-free cores. */
+    public static void write(boolean warning, String name, Object... pairs) {
+        Event e = of(name, pairs);
+        if (warning) {
+            e.warn();
+        } else {
+            e.info();
+        }
+    }
+
     public Event with(String key, Object value) {
         if (value != null) {
             fields.put(key, value);
--- a/src/main/java/maplespread/membership/client/Group.java
+++ b/src/main/java/maplespread/membership/client/Group.java
@@ -49,12 +49,7 @@
             }
 
             @Override public void event(boolean warning, String name, Object... pairs) {
-                Event e = Event.of(name, pairs);
-                if (warning) {
-                    e.warn();
-                } else {
-                    e.info();
-                }
+                Event.write(warning, name, pairs);
             }
         });
         daemon("membership in", this::receive);
--- a/src/main/java/maplespread/registry/client/RegistrySource.java
+++ b/src/main/java/maplespread/registry/client/RegistrySource.java
@@ -35,12 +35,7 @@
             }
 
             @Override public void event(boolean warning, String name, Object... pairs) {
-                Event e = Event.of(name, pairs);
-                if (warning) {
-                    e.warn();
-                } else {
-                    e.info();
-                }
+                Event.write(warning, name, pairs);
             }
         };
         int parts = settings.follow().size();
--- a/src/test/java/maplespread/net/RegistryStoriesTest.java
+++ b/src/test/java/maplespread/net/RegistryStoriesTest.java
@@ -24,6 +24,7 @@
 import maplespread.config.ConfigError;
 import maplespread.config.ConfigReader;
 import maplespread.config.Operator;
+import maplespread.config.OperatorReader;
 import maplespread.facade.Route;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
@@ -55,6 +56,7 @@
         final List<Thread> clients = new ArrayList<>();
         final Dialect dialect;
         volatile Operator operator;
+        volatile String bad;                                     // the operators' file, while it is faulty
         Server server;
 
         Town(Dialect dialect, int members, int workers) throws Exception {
@@ -97,8 +99,8 @@
                     return config();
                 }
 
-                @Override public Operator operator() {
-                    return operator;
+                @Override public Operator operator() throws ConfigError {
+                    return bad == null ? operator : OperatorReader.text(bad);
                 }
             });
             server.onRoutes(news -> news.routes().forEach(r -> {
@@ -341,6 +343,22 @@
         }
     }
 
+    @Test
+    void aFaultyFileAtAReloadChangesNothingAndTheNextOneCounts() throws Exception {
+        try (Town town = new Town(Dialect.ETCD, 1, 2).start()) {
+            town.untilTold(town.worker(1), Route.State.SERVING);
+            town.bad = "{\"registry\":{\"dialect\":\"etcd\",\"endpoints\":[\"nowhere\"]}}";
+            town.server.reload();
+            town.put(town.worker(0), "DRAINING", 0);
+            town.untilTold(town.worker(0), Route.State.DRAINING);
+            town.bad = "{}";                                     // no registry: discovery has the word again
+            town.server.reload();
+            town.put(town.worker(0), "SERVING", 0);              // still obeyed: discovery is silent
+            town.untilTold(town.worker(0), Route.State.SERVING);
+            assertEquals(200, town.status(job("page", "t", 4000)));
+        }
+    }
+
     @Test
     void aRegistryThatNeverAnswersHoldsUpNeitherStartNorEnd() throws Exception {
         try (Town town = new Town(Dialect.ETCD, 1, 1)) {
