--- a/src/test/java/maplespread/address/ClaimsTest.java
+++ b/src/test/java/maplespread/address/ClaimsTest.java
@@ -178,6 +178,28 @@
         assertInstanceOf(Verdict.Unavailable.class, verdicts.get(0));
     }
 
+    /** Attempts are counted anew in each run, so an answer to the run before may have the same number. */
+    @Test
+    void anAnswerToTheRunBeforeCountsForNothing() {
+        List<Verdict> verdicts = new ArrayList<>();
+        Claims next = new Claims(new ClaimSettings("x", List.of("n0", "n1", "n2"), 1000, 60, 9), 2,
+            new Claims.Sink() {
+                @Override public void send(String to, ClaimWord word) { }
+
+                @Override public void decided(String id, Verdict verdict) {
+                    verdicts.add(verdict);
+                }
+            });
+        next.claim(0, "a", 1);
+        for (long boot : new long[] {1, 2}) {
+            assertEquals(0, verdicts.size(), "granted by answers to another run");
+            for (String from : List.of("n0", "n1")) {
+                next.received(1, ClaimWord.of(ClaimWord.Kind.YES, from, 1, "a", 1, boot, null));
+            }
+        }
+        assertInstanceOf(Verdict.Granted.class, verdicts.get(0));
+    }
+
     /** A part that came twice may not stand for one that was lost. */
     @Test
     void aSourceCountsAsReadWhenEachOfItsPartsHasCome() {
