Idle worker connections use what branches leave of the descriptors

The pool held a twelfth of the descriptors (32 of 384), the fleet has 60 workers: each second job paid a handshake, and its worker, too.

At fault: Links.release, whose limit was fixed whatever was in use. Now idle connections may have what the branches leave of the third that is theirs, besides the twelfth; a new connection beyond that ends the longest idle one. A dispatcher of 12 workers held fewer than its limit before and does what it did.

--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -32,9 +32,10 @@
 
     /**
      * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code kept}:
-     * of these, beyond how many the longest idle end, {@code idleLinks}: pooled worker connections.
+     * of these, beyond how many the longest idle end, {@code links}: worker connections, in use or idle, {@code
+     * idleLinks}: of these, how many may be idle whatever is in use.
      */
-    public record Sizes(int transactions, int legs, int kept, int idleLinks, int probes) { }
+    public record Sizes(int transactions, int legs, int kept, int links, int idleLinks, int probes) { }
 
     /**
      * Time limits in milliseconds that are not the module's. {@code firstByteMs}: for a worker to say that it
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -98,7 +98,7 @@
         int threads = (int) ((memoryMb - MEMORY_KEPT_MB) * 1024 / THREAD_KB);
         int transactions = Math.min(256, Math.min(sockets / 3, threads * 2 / 5));
         return new Config.Sizes(transactions, transactions + Math.min(sockets / 8, threads / 5),
-            sockets / 4, sockets / 12, Math.min(32, sockets / 24));
+            sockets / 4, transactions + sockets / 12, sockets / 12, Math.min(32, sockets / 24));
     }
 
     private static Config.Times times(Dispatch.Settings set) {
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -83,7 +83,7 @@
             } catch (IOException e) {
                 // not whole: closed below
             }
-            link.connection.close();
+            links.close(link);
         }
     }
 
@@ -147,11 +147,16 @@
         try {
             link.connection.send(request.body(message.body()));
         } catch (IOException e) {                                // its last byte was never written
-            link.connection.close();
+            links.close(link);
             links.used(link, true);
             return ended(link.kept ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED);
         }
-        return answer(branch, message, me, link);
+        try {
+            return answer(branch, message, me, link);
+        } catch (RuntimeException | Error e) {
+            links.close(link);
+            throw e;
+        }
     }
 
     private Ended answer(Branch branch, Message message, Running me, Links.Link link) {
@@ -173,7 +178,7 @@
                     break;
                 }
                 if (whole) {                                     // ended before the last line
-                    link.connection.close();
+                    links.close(link);
                     return ended(Outcome.RESET);
                 }
                 long left = heard ? leftMs(branch) : Math.min(leftMs(branch), firstByteBy - now());
@@ -190,10 +195,10 @@
             }
             return new Ended(lines.outcome, lines.result, lines.load, link, parser);
         } catch (SocketTimeoutException e) {
-            link.connection.close();
+            links.close(link);
             return ended(Outcome.TIMED_OUT);
         } catch (IOException e) {
-            link.connection.close();
+            links.close(link);
             if (me.cancelled()) {
                 return ended(Outcome.CANCELLED);
             }
@@ -206,7 +211,7 @@
     }
 
     private Ended broke(Links.Link link, boolean heard) {
-        link.connection.close();
+        links.close(link);
         if (!heard) {
             links.used(link, true);
         }
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -11,13 +11,18 @@
 import maplespread.http.HttpConnection;
 import maplespread.routes.RouteReader;
 
-/** The connections to workers: each carries one request at a time; idle ones wait here for the next. */
+/**
+ * The connections to workers: each carries one request at a time; idle ones wait here for the next. Idle ones
+ * have what branches leave of the descriptors that are for both: with more workers than a fixed pool would hold,
+ * nearly each job would pay a handshake, at the worker too. A new connection beyond that ends the longest idle.
+ */
 public final class Links {
     /** One connection, and whether it has carried a request before. */
     static final class Link {
         final HttpConnection connection;
         final String address;
         boolean kept;                                            // it has carried a request before
+        boolean inUse = true;                                    // counted in out
         long idleSince;
         long idled;                                              // for how long, before this use
 
@@ -31,6 +36,7 @@
     private final Config config;
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private int idleCount;
+    private int out;                                             // in use, or being connected
     private long idleNanos;                                      // how long an idle one is trusted
     private double broken;                                       // share of kept ones that broke, of late
 
@@ -50,19 +56,71 @@
             if (link.idled < trustedNanos() && !link.connection.stale()) {
                 return link;
             }
-            link.connection.close();
+            close(link);
         }
         InetSocketAddress to = RouteReader.address(address);
-        return new Link(HttpConnection.dial(to, Math.min(limitMs, config.times().dialMs())), address);
+        Link oldest = begin();
+        if (oldest != null) {
+            oldest.connection.close();
+        }
+        try {
+            return new Link(HttpConnection.dial(to, Math.min(limitMs, config.times().dialMs())), address);
+        } catch (IOException | RuntimeException | Error e) {
+            notMade();
+            throw e;
+        }
     }
 
     private synchronized Link takeIdle(String address) {
+        Link link = poll(address, false);
+        if (link != null) {
+            link.inUse = true;
+            out++;
+        }
+        return link;
+    }
+
+    private Link poll(String address, boolean oldest) {
         ArrayDeque<Link> links = idle.get(address);
-        Link link = links == null ? null : links.pollLast();
+        Link link = links == null ? null : oldest ? links.pollFirst() : links.pollLast();
         idleCount -= link == null ? 0 : 1;
+        if (link != null && links.isEmpty()) {
+            idle.remove(address);
+        }
         return link;
     }
 
+    /** Counts a new connection; the longest idle one where there would be too many, to be closed for it. */
+    private synchronized Link begin() {
+        out++;
+        String longest = null;
+        for (Map.Entry<String, ArrayDeque<Link>> e : idle.entrySet()) {
+            if (idleCount > room() && (longest == null
+                || e.getValue().peekFirst().idleSince < idle.get(longest).peekFirst().idleSince)) {
+                longest = e.getKey();
+            }
+        }
+        return longest == null ? null : poll(longest, true);
+    }
+
+    /** How many may be idle beside those in use. */
+    private int room() {
+        return Math.max(config.sizes().idleLinks(), config.sizes().links() - out);
+    }
+
+    private synchronized void notMade() {
+        out--;
+    }
+
+    /** Closes a connection that {@link #get} gave and that carries no more; again, it does nothing. */
+    void close(Link link) {
+        link.connection.close();
+        synchronized (this) {
+            out -= link.inUse ? 1 : 0;
+            link.inUse = false;
+        }
+    }
+
     private synchronized boolean distrusted() {
         return broken > 0.01;
     }
@@ -87,7 +145,9 @@
     /** Takes a connection back after a whole answer. */
     void release(Link link) {
         synchronized (this) {
-            if (idleCount < config.sizes().idleLinks()) {
+            out -= link.inUse ? 1 : 0;
+            link.inUse = false;
+            if (idleCount < room()) {
                 link.idleSince = System.nanoTime();
                 link.kept = true;
                 idle.computeIfAbsent(link.address, a -> new ArrayDeque<>()).addLast(link);
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -50,7 +50,7 @@
             outcome = link == null ? Outcome.NOT_CONNECTED : Outcome.RESET;
         }
         if (link != null) {
-            link.connection.close();
+            links.close(link);
         }
         dispatcher.report(probe, outcome, (System.nanoTime() - start) / 1e6, load);
     }
--- a/src/test/java/maplespread/config/ConfigReaderTest.java
+++ b/src/test/java/maplespread/config/ConfigReaderTest.java
@@ -31,7 +31,7 @@
         for (String[] l : limits) {
             Config.Sizes z = ConfigReader.read(example().replace("192", l[0]).replace("1024", l[1]), Map.of())
                 .sizes();
-            assertTrue("descriptors of " + l[1], z.legs() + z.transactions() + z.idleLinks() + z.probes()
+            assertTrue("descriptors of " + l[1], z.legs() + z.links() + z.probes()
                 < Integer.parseInt(l[1]) - 24);
             assertTrue("threads in " + l[0], z.transactions() > 8
                 && (z.legs() + z.transactions()) * 0.122 < Math.max(90, Integer.parseInt(l[0])) - 84);
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -494,7 +494,7 @@
 
     private static Config sized(Config c, int transactions, int legs) {
         return new Config(c.name(), c.listen(), c.discovery(), c.seed(), c.settings(), c.names(),
-            new Config.Sizes(transactions, legs, legs - 1, 8, 8), c.times(), c.known());
+            new Config.Sizes(transactions, legs, legs - 1, transactions + 8, 8, 8), c.times(), c.known());
     }
 
     private static Config timed(Config c, long legReadMs, long silenceMs, long holdMs, long endMs) {
