--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -605,7 +605,10 @@
         meanX = offers == 1 ? q.x : meanX + step * (q.x - meanX);
         meanWorth = offers == 1 ? worth : meanWorth + step * (worth - meanWorth);
         q.weight = clamp(worth / Math.max(meanWorth, 1e-9), 0.05, 50);
-        rate = (offers == 1 ? 0 : rate * Math.exp((rateAt - now) / horizon)) + 1 / horizon;
+        if (offers > 1 && q.deadline - now < q.spec.deadlineMs() - aim / 8) {
+            return;      // a client's later try: it was offered before, and counted again would refuse the more
+        }
+        rate = (Double.isNaN(rateAt) ? 0 : rate * Math.exp((rateAt - now) / horizon)) + 1 / horizon;
         rateAt = now;
         double pick = random.nextDouble() * workers.total();    // the paper's load-balanced random split
         int i = 0;
@@ -906,7 +909,7 @@
      * of the store that all share and drives out a set that others will miss. HOME, OTHER and SECOND: how
      * likely a miss is at the key's home, where it went from here lately, and at its second choice.
      */
-    private static final double FETCH = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
+    private static final double FETCH = 5, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
     private static final double KEPT = 1.4;                      // data sets that a worker keeps a slot
 
     /** Highest random weight: all nodes find the same home for a key without a word between them. */
--- a/src/test/java/maplespread/decision/Host.java
+++ b/src/test/java/maplespread/decision/Host.java
@@ -74,9 +74,14 @@
     }
 
     Call take(long id, int cls, double work, double memory) {
+        return take(id, cls, work, memory, set.classes().get(cls).deadlineMs());
+    }
+
+    /** With less left than the class's deadline, as a client's later try comes. */
+    Call take(long id, int cls, double work, double memory, double leftMs) {
         Call c = new Call();
         c.spec = set.classes().get(cls);
-        c.deadline = now + c.spec.deadlineMs();
+        c.deadline = now + leftMs;
         calls.put(id, c);
         node.request(us(), new Request(id, cls, 0, Math.round(c.deadline * 1000), work, 1,
             memory));
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -70,6 +70,28 @@
         assertTrue(served >= 4 && served < 40, "took " + served);
     }
 
+    /** How many are taken after a rush of jobs, each of which was served at once, so that no backlog stands. */
+    private static int takenAfterARush(double leftMs) {
+        Host h = two();
+        for (int i = 1; i <= 900; i++) {
+            if (!h.take(i, 0, 500, 0, leftMs).tries.isEmpty()) {
+                h.settle(i, Verdict.OK);
+            }
+            h.now += 30;
+        }
+        int taken = 0;
+        while (h.take(1000 + taken, 500).end.isEmpty()) {
+            taken++;
+        }
+        return taken;
+    }
+
+    /** What is refused comes again: counted as load, it would keep the prices up that refused it. */
+    @Test void clientsLaterTriesDoNotRaiseThePrice() {
+        int rushed = takenAfterARush(10_000), calm = takenAfterARush(9_000);
+        assertTrue(calm > rushed, calm + " after later tries, " + rushed + " after as many jobs");
+    }
+
     @Test void aPausedWorkerKeepsItsBacklog() {
         Host h = two();
         h.take(1, 800);
@@ -328,7 +350,7 @@
     /** Guards the learned trust in hints: without it the worker given small jobs would look ever slower. */
     @Test void uselessHintsAreShrunkTowardsTheMean() {
         Host h = host(Effect.READ_LIKE, Group.ALL, Host.entry("a", 0, 0));
-        for (int i = 1; i <= 200; i++) {
+        for (int i = 1; i <= 900; i++) {
             Host.Call c = h.take(i, i % 2 == 0 ? 100 : 1600);   // hints say 1 : 16, runs are all alike
             assertEquals(1, c.tries.size(), "an idle worker takes job " + i);
             h.pass(400);
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -44,6 +44,15 @@
         assertFalse(next.worker().equals(b.worker()));
     }
 
+    /** Guards clients that leave while the connection to the worker comes up: nobody waits for that work. */
+    @Test public void aClientThatLeftAfterThePickForbidsTheSend() throws Exception {
+        Dispatcher d = dispatcher("a", "bb");
+        Branch b = (Branch) d.pick(job(d, 1, 4000));
+        assertTrue(d.mayUse(b));
+        d.reportLeft(b.transaction());
+        assertFalse(d.mayUse(b));
+    }
+
     /** Guards the whole list: who is absent from it is gone. */
     @Test public void aWholeListDropsTheAbsent() throws Exception {
         Dispatcher d = dispatcher("a");
