--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -410,13 +410,14 @@
         /** One sample counts as at most four times off: a pause, a hang or a wild hint is not a speed. */
         void learn(double done, double took) {
             if (done > 0 && took > 0) {
-                double t = clamp(took, done / (4 * speed), 4 * done / speed);
+                double t = clamp(took * warmth(), done / (4 * speed), 4 * done / speed);  // c is given it too
                 double keep = fade((now - learnAt) / (2 * horizon)) * Math.exp(-t * speed / (4 * meanAll()));
                 learnAt = now;                                          // remembers about four mean jobs
                 work = work * keep + done;
                 time = time * keep + t;
-                kind.work = kind.work * 0.98 + done;                    // and the kind about fifty samples
-                kind.time = kind.time * 0.98 + t;
+                double pooled = isCold() ? 0 : 1;                       // cold runs tell nothing of the kind
+                kind.work = kind.work * (1 - 0.02 * pooled) + pooled * done;    // the kind: about fifty samples
+                kind.time = kind.time * (1 - 0.02 * pooled) + pooled * t;
                 kind.speed = (kind.work + meanAll()) / (kind.time + meanAll());
             }
         }
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -92,6 +92,33 @@
         assertTrue(calm > rushed, calm + " after later tries, " + rushed + " after as many jobs");
     }
 
+    /** How many jobs a worker nobody has tried takes, after another of its kind has run four in so long each. */
+    private static int takenByANewOne(boolean cold, double runMs) {
+        Host h = host(Effect.READ_LIKE, Group.ALL, Host.entry("a", 0, cold ? 1000 : 0));
+        for (int i = 1; i <= 4; i++) {
+            Host.Call c = h.take(i, 500);
+            while (c.tries.isEmpty()) {
+                h.pass(100);                                     // its share of the cold budget fills
+            }
+            h.node.progress(h.us(), i, 0, "a", true, 0);
+            h.now += runMs;
+            h.settle(i, Verdict.OK);
+        }
+        h.list(ListKind.FULL, Host.entry("b", 0, 0));
+        int taken = 0;
+        while (h.take(1000 + taken, 500).end.isEmpty()) {
+            taken++;
+        }
+        return taken;
+    }
+
+    /** After a mass start most of a kind's runs are cold ones: taken for its speed, they refuse warm capacity. */
+    @Test void coldRunsDoNotSlowTheirKind() {
+        int after = takenByANewOne(false, 500);
+        assertTrue(takenByANewOne(false, 1500) < after, "a slow kind takes less");
+        assertEquals(after, takenByANewOne(true, 1500));
+    }
+
     @Test void aPausedWorkerKeepsItsBacklog() {
         Host h = two();
         h.take(1, 800);
