--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -32,8 +32,8 @@
 
     /**
      * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code kept}:
-     * of these, beyond how many the longest idle end, {@code links}: worker connections, in use or idle, {@code
-     * idleLinks}: of these, how many may be idle whatever is in use.
+     * of these, beyond how many the longest idle end, {@code links}: worker connections, in use or idle,
+     * {@code idleLinks}: of these, how many may be idle whatever is in use.
      */
     public record Sizes(int transactions, int legs, int kept, int links, int idleLinks, int probes) { }
 
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -416,7 +416,7 @@
                 work = work * keep + done;
                 time = time * keep + t;
                 double pooled = isCold() ? 0 : 1;                       // cold runs tell nothing of the kind
-                kind.work = kind.work * (1 - 0.02 * pooled) + pooled * done;    // the kind: about fifty samples
+                kind.work = kind.work * (1 - 0.02 * pooled) + pooled * done;   // and the kind about fifty
                 kind.time = kind.time * (1 - 0.02 * pooled) + pooled * t;
                 kind.speed = (kind.work + meanAll()) / (kind.time + meanAll());
             }
@@ -607,7 +607,7 @@
         meanWorth = offers == 1 ? worth : meanWorth + step * (worth - meanWorth);
         q.weight = clamp(worth / Math.max(meanWorth, 1e-9), 0.05, 50);
         if (offers > 1 && q.deadline - now < q.spec.deadlineMs() - aim / 8) {
-            return;      // a client's later try: it was offered before, and counted again would refuse the more
+            return;                                              // a client's later try: offered before
         }
         rate = (Double.isNaN(rateAt) ? 0 : rate * Math.exp((rateAt - now) / horizon)) + 1 / horizon;
         rateAt = now;
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -184,14 +184,15 @@
     }
 
     /**
-     * Whether the branch may be sent now: to be asked again just before. While a connection came up, a drain may
-     * have been told, or the client may have left: its work would be done for nobody, and count as a second job.
+     * Whether the branch may be sent now: to be asked again just before. While a connection came up, a drain
+     * may have been told, or the client may have left: its work would be done for nobody.
      */
     public boolean mayUse(Branch b) {
         lock.lock();
         try {
             Route r = routes.get(b.worker());
-            return !b.transaction().ended && r != null && r.state() == Route.State.SERVING && r.address().equals(b.address());
+            return !b.transaction().ended && r != null && r.state() == Route.State.SERVING
+                && r.address().equals(b.address());
         } finally {
             lock.unlock();
         }
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -12,9 +12,10 @@
 import maplespread.routes.RouteReader;
 
 /**
- * The connections to workers: each carries one request at a time; idle ones wait here for the next. Idle ones
- * have what branches leave of the descriptors that are for both: with more workers than a fixed pool would hold,
- * nearly each job would pay a handshake, at the worker too. A new connection beyond that ends the longest idle.
+ * The connections to workers: each carries one request at a time; idle ones wait here for the next. Idle
+ * ones have what branches leave of the descriptors that are for both: with more workers than a fixed pool
+ * would hold, nearly each job would pay a handshake, at the worker too. A new connection beyond that ends the
+ * longest idle.
  */
 public final class Links {
     /** One connection, and whether it has carried a request before. */
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -70,7 +70,7 @@
         assertTrue(served >= 4 && served < 40, "took " + served);
     }
 
-    /** How many are taken after a rush of jobs, each of which was served at once, so that no backlog stands. */
+    /** How many are taken after a rush of jobs, each served at once, so that no backlog stands. */
     private static int takenAfterARush(double leftMs) {
         Host h = two();
         for (int i = 1; i <= 900; i++) {
@@ -92,7 +92,7 @@
         assertTrue(calm > rushed, calm + " after later tries, " + rushed + " after as many jobs");
     }
 
-    /** How many jobs a worker nobody has tried takes, after another of its kind has run four in so long each. */
+    /** How many jobs a worker that nobody has tried takes, after another of its kind has run four. */
     private static int takenByANewOne(boolean cold, double runMs) {
         Host h = host(Effect.READ_LIKE, Group.ALL, Host.entry("a", 0, cold ? 1000 : 0));
         for (int i = 1; i <= 4; i++) {
@@ -112,7 +112,7 @@
         return taken;
     }
 
-    /** After a mass start most of a kind's runs are cold ones: taken for its speed, they refuse warm capacity. */
+    /** After a mass start most runs are cold: taken for their kind's speed, they refuse warm capacity. */
     @Test void coldRunsDoNotSlowTheirKind() {
         int after = takenByANewOne(false, 500);
         assertTrue(takenByANewOne(false, 1500) < after, "a slow kind takes less");
