--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -235,8 +235,7 @@
 
     /** What workers of one kind have in common: pooled speed and slots, the prior of each of them. */
     private static final class Kind {
-        double work, time, speed = 1, slots;                     // with nothing learned, a standard core's
-        double unseen;                                           // others' backlog at one worker, as time
+        double work, time, speed = 1, slots, unseen;             // unseen: others' backlog, as time
     }
 
     private final class Worker extends Roster.Placed {
@@ -563,7 +562,7 @@
     private double rate, rateAt = Double.NaN;                    // offered jobs a millisecond, before refusal
     private double meanX = Double.NaN, meanWorth = Double.NaN, offers, lostShare;
     private double mineAvg, unseenAvg, crowd = 1, scanAt;        // crowd: all nodes' load over its own
-    private double meanAt = Double.NaN;                          // when these means were last formed
+    private double meanAt = Double.NaN, crammed;                 // when formed; mean wait, in mean jobs
 
     private double logMid, hints, hintVar, hintCov, trust = 1;   // how far hints are to be believed
 
@@ -649,11 +648,10 @@
         if (u > tau) {
             return slope * (u - tau);
         }
-        double rho = lambda * s;
+        double rho = lambda * s, heavy = clamp(rho - 1, 0, 1);
         // A2 with a noisy r may turn negative or outgrow the tail: keep v non-decreasing and convex.
         double atTau = clamp((1 + rho) * slope - lambda, slope * Math.min(1, rho) / 10, slope);
         // Above rho = 1 the quadratic gives way to the heavy-load line (13), wholly so from rho = 2 on.
-        double heavy = clamp(rho - 1, 0, 1);
         return heavy * slope * (u - tau) + (1 - heavy) * atTau / (2 * tau) * (u * u - tau * tau);
     }
 
@@ -907,10 +905,11 @@
 
     /**
      * Departure "key": a miss is priced as this many mean jobs. Its own wait is under one, but it also takes
-     * of the store that all share and drives out a set that others will miss. HOME, OTHER and SECOND: how
+     * of the store that all share and drives out a set that others will miss: CRAMMED more where jobs wait
+     * two mean jobs, as then the slots it holds are missed. HOME, OTHER and SECOND: how
      * likely a miss is at the key's home, where it went from here lately, and at its second choice.
      */
-    private static final double FETCH = 5, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
+    private static final double FETCH = 3, CRAMMED = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
     private static final double KEPT = 1.4;                      // data sets that a worker keeps a slot
 
     /** Highest random weight: all nodes find the same home for a key without a word between them. */
@@ -932,7 +931,7 @@
     /** The price of the data set that a job may have to wait for at w, holding its slots, as time. */
     private double fetch(Req q, Worker w) {
         double miss = w == q.home ? HOME : w.kept.containsKey(q.key) ? OTHER : w == q.second ? SECOND : 1;
-        return q.key == 0 ? 0 : FETCH * miss * meanAll();
+        return q.key == 0 ? 0 : (FETCH + CRAMMED * Math.min(1, crammed / 2)) * miss * meanAll();
     }
 
     private static long hash(String text) {
@@ -969,21 +968,22 @@
     // ------------------------------------------------------------ upkeep: silence, probes
 
     private final List<Worker> busy = new ArrayList<>();         // those that hold work from here
-    private double soonest, tickAt = Double.POSITIVE_INFINITY;
-    private double stalledAt = Double.NEGATIVE_INFINITY;         // when this node last stood still
+    private double soonest, tickAt = Double.POSITIVE_INFINITY, stalledAt = Double.NEGATIVE_INFINITY;
 
     /** Brings all workers up to date: once for each look at the fleet, never by the clock alone. */
     private void scan() {
         if (now - scanAt < aim / 8) {
             return;                                              // fresh enough: its own events are in
         }
-        double mine = 0, unseen = 0;
+        double mine = 0, unseen = 0, waits = 0, ready = 0;
         soonest = allow.maxPauseMs();
         for (Worker w : workers.all()) {
             w.refresh();
             workers.share(w, w.usable());
             if (w.health == Health.ACTIVE) {
                 soonest = ready(w) ? Math.min(soonest, w.u) : soonest;
+                waits += ready(w) ? w.u : 0;
+                ready += ready(w) ? 1 : 0;
                 mine += w.down ? 0 : w.own;
                 unseen += w.down ? 0 : w.extra;
                 if (w.down && now >= w.tryAt) {
@@ -996,6 +996,7 @@
         double step = clamp((now - meanAt) / horizon, 0, 1);     // at first one among nodes of its own size
         unseenAvg = Double.isNaN(meanAt) ? (set.balancers() - 1) * meanAll() / 2 : unseenAvg;
         scanAt = meanAt = now;
+        crammed += step * (waits / Math.max(1, ready) / meanAll() - crammed);
         mineAvg += step * (mine - mineAvg);
         unseenAvg += step * (unseen - unseenAvg);
         crowd = clamp(1 + unseenAvg / Math.max(mineAvg, meanAll() / 2), 1, set.balancers());
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -454,6 +454,28 @@
         assertTrue(places.size() > 1, "only " + places);
     }
 
+    /** How many jobs of one key its home is given before another worker gets one. */
+    private static int staysAtHome(int jobsBefore) {
+        Host h = eight();
+        for (int i = 1; i <= jobsBefore; i++) {
+            String at = sentTo(h, i, null);
+            h.node.progress(h.us(), i, 0, at, true, 0);
+        }
+        h.pass(900);
+        String home = sentTo(h, 1000, "fn:hot");
+        int stays = 1;
+        while (sentTo(h, 1000 + stays, "fn:hot").equals(home)) {
+            stays++;
+        }
+        return stays;
+    }
+
+    /** Guards slots that wait for a data set where all are behind: there a key stays longer at its home. */
+    @Test void aMissIsDearerWhileJobsWait() {
+        int calm = staysAtHome(0), behind = staysAtHome(64);
+        assertTrue(behind > calm, behind + " where jobs wait, " + calm + " where none do");
+    }
+
     /** Guards the queue of others, which no report shows: a job that starts late tells of it. */
     @Test void aLateStartTellsOfWorkThatNoReportShows() {
         Host h = two();
