--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -461,7 +461,7 @@
             String at = sentTo(h, i, null);
             h.node.progress(h.us(), i, 0, at, true, 0);
         }
-        h.pass(900);
+        h.pass(12_000);                                          // the mean wait is settled
         String home = sentTo(h, 1000, "fn:hot");
         int stays = 1;
         while (sentTo(h, 1000 + stays, "fn:hot").equals(home)) {
@@ -472,8 +472,8 @@
 
     /** Guards slots that wait for a data set where all are behind: there a key stays longer at its home. */
     @Test void aMissIsDearerWhileJobsWait() {
-        int calm = staysAtHome(0), behind = staysAtHome(64);
-        assertTrue(behind > calm, behind + " where jobs wait, " + calm + " where none do");
+        int calm = staysAtHome(0), behind = staysAtHome(96);
+        assertTrue(behind > 10 * calm, behind + " where jobs wait, " + calm + " where none do");
     }
 
     /** Guards the queue of others, which no report shows: a job that starts late tells of it. */
