A console on a second address: health, stats, quiesce, resume, and figures counted once

Change: package console (one thread a call, twelve places, the oldest gives way), package figures (adders, counted where an answer was claimed and written, or an attempt's last byte), a phase QUIESCED. hosts_down is the module's own word (Logic.avoided), published by the ticker. Room in the module: hash and mix moved to Numbers, one loop to Roster.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -15,16 +15,18 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import maplespread.caller.Counts;
 import maplespread.caller.Listener;
 import maplespread.caller.Service;
 import maplespread.config.Config;
 import maplespread.config.ConfigError;
 import maplespread.config.Operator;
+import maplespread.console.Calls;
+import maplespread.console.Console;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
 import maplespread.facade.RouteNews;
+import maplespread.figures.Figures;
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.client.RegistrySource;
 import maplespread.routes.Handover;
@@ -73,7 +75,8 @@
     private volatile long lastUs = Long.MAX_VALUE;               // by when all must be answered
     private long sweptAt = System.nanoTime();
     private long countedAt = sweptAt;
-    private Counts counts;
+    private final Figures figures = new Figures();
+    private Console console;                                     // null: none is named
 
     /** {@code source}: asked at each reload. */
     public Server(Config config, Source source) {
@@ -87,7 +90,8 @@
         probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed());
         links = new Links(config);
-        branches = new Branches(config, links, dispatcher);
+        branches = new Branches(config, links, dispatcher, figures);
+        figures.show(config.names().classes());
         prober = new Prober(config, links, dispatcher);
         registry = operator.registry();
         routes = new Handover(maker(config, registry), new RouteSink() {
@@ -115,14 +119,18 @@
     /** Opens the listener and serves from the list last known; returns at once. */
     public void start() throws IOException {
         dispatcher.report(config.known());
+        if (config.console() != null) {
+            console = new Console(config.console(), Config.CONSOLE_PLACES, new Calls(lifecycle::accepting,
+                this::figures, lifecycle::quiesce, lifecycle::resume));
+            console.start();
+        }
         socket = new ServerSocket();
         socket.setReuseAddress(true);
         InetSocketAddress at = config.listen();
         socket.bind(at, BACKLOG);
         Service service = new Service(config, dispatcher, branches,
-            threads("transaction", config.sizes().transactions() + 8), lifecycle::serving, routes::unready,
+            threads("transaction", config.sizes().transactions() + 8), figures, lifecycle::serving, routes::unready,
             () -> lifecycle.phase().ordinal() >= Lifecycle.Phase.FINISHING.ordinal(), () -> lastUs);
-        counts = service.counts();
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         lifecycle.enter(Lifecycle.Phase.SERVING);
@@ -132,6 +140,12 @@
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
 
+    /** What the operators are shown. */
+    private String figures() {
+        figures.hosts(dispatcher.hosts());
+        return figures.text();
+    }
+
     /** Has the configuration read anew; asked several times at once, it is read after the last of them. */
     public void reload() {
         reloads.release();
@@ -161,15 +175,19 @@
             if (!Objects.equals(registry, then)) {
                 registry = then;
                 routes.change(maker(next, then));
+                figures.reconfigured(true);
                 Logger.info("configuration: read anew; routes come from {}", then == null ? "discovery at "
                     + next.discovery() : then.dialect() + " at " + then.endpoints());
                 return;
             }
+            figures.reconfigured(true);
             Logger.info("configuration: read anew; discovery at {}{}", next.discovery(),
                 routes.move(next.discovery()) ? ", watched from now on" : " as before");
         } catch (ConfigError e) {
+            figures.reconfigured(false);
             Logger.error("configuration: {}; the old one stays", e.getMessage());
         } catch (RuntimeException | Error e) {                   // the next reload must still be heard
+            figures.reconfigured(false);
             Logger.error(e, "a reload failed; the old configuration stays");
         }
     }
@@ -188,6 +206,11 @@
         return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
+    /** The port of the operators' address. */
+    public int consolePort() {
+        return console.port();
+    }
+
     /** The port that is listened on. */
     public int port() {
         return socket.getLocalPort();
@@ -229,6 +252,9 @@
         }
         parts.forEach(Thread::interrupt);
         routes.close();
+        if (console != null) {
+            console.close();
+        }
         lifecycle.enter(Lifecycle.Phase.STOPPED);
     }
 
@@ -262,7 +288,7 @@
     private void count() {
         if (System.nanoTime() - countedAt > COUNT_MS * 1_000_000) {
             countedAt = System.nanoTime();
-            counts.log(listener.size());
+            figures.log(listener.size());
         }
     }
 
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import maplespread.figures.Figures;
+import maplespread.figures.Figures.Code;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpWriter;
 
@@ -13,18 +15,27 @@
 final class Answer {
     private final HttpConnection connection;
     private final BooleanSupplier last;
+    private final Figures figures;
     private final AtomicBoolean claimed = new AtomicBoolean();
     private final CountDownLatch over = new CountDownLatch(1);
     private volatile boolean closed;
+    private volatile String lane;                                // of the job taken; null: none was
 
     /** {@code last}: whether the connection ends with this answer, asked when it is given. */
-    Answer(HttpConnection connection, BooleanSupplier last) {
+    Answer(HttpConnection connection, BooleanSupplier last, Figures figures) {
         this.connection = connection;
         this.last = last;
+        this.figures = figures;
+    }
+
+    /** A job of this class has been taken: its end is counted, once, by whoever gives the answer. */
+    void taken(String lane) {
+        this.lane = lane;
+        figures.taken();
     }
 
     void served(byte[] result) {
-        give(HttpWriter.response(200), result);
+        give(Code.SUCCESS, HttpWriter.response(200), result);
     }
 
     /** A refusal: it is harmless to try again, after the pause. */
@@ -33,7 +44,7 @@
         if (pauseMs > 0) {
             head.field("Retry-After", String.format(Locale.ROOT, "%.3f", pauseMs / 1000));
         }
-        give(head, text("busy"));
+        give(Code.BUSY, head, text("busy"));
     }
 
     void failed(int status, String why) {
@@ -41,22 +52,23 @@
         if (status == 405) {
             head.field("Allow", why.contains("POST") ? "POST" : "GET");
         }
-        give(head, text(why));
+        give(Code.FAILURE, head, text(why));
     }
 
     void plain(int status, String why) {
-        give(HttpWriter.response(status), text(why));
+        give(Code.FAILURE, HttpWriter.response(status), text(why));
     }
 
     /** The client has broken the framing: fails, ends the connection. False where an answer came before. */
     boolean broken(String why) {
-        return give(HttpWriter.response(400), text(why), true);
+        return give(Code.FAILURE, HttpWriter.response(400), text(why), true);
     }
 
     /** Ends the matter without an answer: the client has left. */
     void drop() {
         if (claimed.compareAndSet(false, true)) {
-            over.countDown();
+            figures.left();
+            over();
         }
     }
 
@@ -74,11 +86,11 @@
         over.await();
     }
 
-    private void give(HttpWriter head, byte[] body) {
-        give(head, body, false);
+    private void give(Code code, HttpWriter head, byte[] body) {
+        give(code, head, body, false);
     }
 
-    private boolean give(HttpWriter head, byte[] body, boolean end) {
+    private boolean give(Code code, HttpWriter head, byte[] body, boolean end) {
         if (!claimed.compareAndSet(false, true)) {
             return false;
         }
@@ -86,17 +98,27 @@
         closed = close;
         try {
             connection.send((close ? head.field("Connection", "close") : head).body(body));
+            if (lane != null) {
+                figures.answered(lane, code);
+            }
             if (close) {
                 connection.endSending();
             }
         } catch (IOException e) {
             connection.close();                                  // the client has gone
         } finally {
-            over.countDown();
+            over();
         }
         return true;
     }
 
+    private void over() {
+        if (lane != null) {
+            figures.over();
+        }
+        over.countDown();
+    }
+
     private static byte[] text(String why) {
         return (why + "\n").getBytes(StandardCharsets.UTF_8);
     }
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -96,15 +96,14 @@
     void fail() {
         Answer now = current;
         if (now != null && !now.given()) {
-            service.counts().failed.increment();
             now.failed(502, "the dispatcher ends");
         }
     }
 
     /** Refuses whatever it brings, unread: for when no thread is left that could read it. */
     void refuse() {
-        service.counts().busy.increment();
-        new Answer(connection, () -> true).busy(FULL_PAUSE_MS);
+        service.figures().unread();
+        new Answer(connection, () -> true, service.figures()).busy(FULL_PAUSE_MS);
         connection.close();
     }
 
@@ -115,7 +114,7 @@
                 more = one();
             }
         } catch (SocketTimeoutException slow) {
-            new Answer(connection, () -> true).plain(408, "request not whole in time");
+            new Answer(connection, () -> true, service.figures()).plain(408, "request not whole in time");
         } catch (IOException left) {
             // the client has gone, and nothing was owed to it
         } catch (InterruptedException e) {
@@ -136,7 +135,8 @@
         }
         // The first request is to be whole soon after connecting, whatever the client does in between.
         long whole = (answered ? System.nanoTime() : connectedAt) + readMs() * 1_000_000;
-        Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()));
+        Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()),
+            service.figures());
         quietSince = System.nanoTime();
         boolean large = false;
         try {
@@ -145,6 +145,10 @@
                 large = service.largeRoom().tryAcquire();
             }
             if (parser.bodyLength() > Service.LARGE && !large) {
+                String lane = parser.head().get("X-Lane");
+                if (service.config().names().classes().contains(lane)) {
+                    answer.taken(lane);
+                }
                 answer.busy(FULL_PAUSE_MS);                      // unread, so the connection ends with it
                 linger();
                 return false;
@@ -182,7 +186,7 @@
     /** Turns a request down that no worker may see. */
     private void fault(Answer answer, int status, String why) {
         faults++;
-        service.counts().faulty.increment();
+        service.figures().faulty();
         answer.failed(status, why);
     }
 
@@ -190,7 +194,7 @@
     private boolean broken(Answer answer) {
         boolean first = answer.broken("one request at a time");
         if (first) {
-            service.counts().faulty.increment();
+            service.figures().faulty();
         }
         return first;
     }
@@ -260,7 +264,7 @@
 
     private void job(JobRequest job, Answer answer) throws IOException, InterruptedException {
         if (turnAway || !service.room().tryAcquire()) {
-            service.counts().busy.increment();
+            answer.taken(job.message.lane());
             answer.busy(FULL_PAUSE_MS);
             return;
         }
@@ -272,6 +276,7 @@
         }
         useful = true;
         faults = 0;
+        answer.taken(job.message.lane());
         try {
             service.transactions().execute(() -> {
                 try {
@@ -320,7 +325,6 @@
     private void leave(Transaction t, Answer answer) {
         if (!answer.given()) {
             answer.drop();
-            service.counts().left.increment();
             dispatcher.reportLeft(t);
         }
         connection.close();
@@ -335,11 +339,9 @@
                         return;
                     }
                 } else if (word instanceof Word.BusyAnswer busy) {
-                    service.counts().busy.increment();
                     answer.busy(busy.pauseMs());
                     return;
                 } else if (word instanceof Word.Failed) {
-                    service.counts().failed.increment();
                     answer.failed(502, "no worker served it");
                     return;
                 } else {
@@ -366,7 +368,6 @@
             end = service.branches().run(branch, job.message);
             outcome = end.outcome;
             if (outcome == Outcome.SERVED) {
-                service.counts().served.increment();
                 answer.served(end.result);
             }
         } finally {
--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -87,7 +87,7 @@
             }
             fields.add(new String[] {"X-Entity", entity});
         }
-        message = new Message(head.method(), head.target(), id, fields, body);
+        message = new Message(head.method(), head.target(), id, lane, fields, body);
         long waitsUntilUs = lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US;
         transaction = new Transaction(cls, tenant, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
             workMs, slots, memory, entity);
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -110,7 +110,7 @@
     private boolean end(CallerLeg silent) {
         if (silent != null) {
             silent.end();
-            service.counts().shed.increment();
+            service.figures().shed();
         }
         return silent != null;
     }
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.Dispatcher;
+import maplespread.figures.Figures;
 import maplespread.worker.Branches;
 
 /**
@@ -15,18 +16,18 @@
  * whether connections are to end after their present requests; {@code lastUs}: no request may last beyond it.
  */
 public record Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-                      Semaphore room, Semaphore largeRoom, Ids ids, Counts counts, BooleanSupplier serving,
+                      Semaphore room, Semaphore largeRoom, Ids ids, Figures figures, BooleanSupplier serving,
                       Supplier<String> unready, BooleanSupplier finishing, LongSupplier lastUs) {
     /** Bodies above this length are few, and so many at once fit the heap. */
     static final int LARGE = 8 * 1024;
     private static final int LARGE_AT_ONCE = 48;
 
-    /** With empty counts and all room free. */
+    /** With all room free. */
     public Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-            BooleanSupplier serving, Supplier<String> unready, BooleanSupplier finishing,
+            Figures figures, BooleanSupplier serving, Supplier<String> unready, BooleanSupplier finishing,
             LongSupplier lastUs) {
         this(config, dispatcher, branches, transactions, new Semaphore(config.sizes().transactions()),
-            new Semaphore(LARGE_AT_ONCE), new Ids(config.times().longestMs()), new Counts(), serving,
+            new Semaphore(LARGE_AT_ONCE), new Ids(config.times().longestMs()), figures, serving,
             unready, finishing, lastUs);
     }
 }
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -3,17 +3,25 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
 
-/** All that a dispatcher is told, read and checked by {@link ConfigReader}. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-                     Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
+/**
+ * All that a dispatcher is told, read and checked by {@link ConfigReader}. {@code console}: where the operators
+ * call, or null.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress console,
+                     InetSocketAddress discovery, long seed, Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
+    /** The operators' connections at once; their descriptors are not the clients'. */
+    public static final int CONSOLE_PLACES = 12;
+
     /** The keys in which another configuration differs that a running program cannot take up. */
     public List<String> needingRestart(Config other) {
         List<String> keys = new ArrayList<>();
         differ(keys, "name", name, other.name);
         differ(keys, "listen", listen, other.listen);
+        differ(keys, "console", console, other.console);
         differ(keys, "limits", sizes, other.sizes);
         differ(keys, "settings", List.of(settings, names, times), List.of(other.settings, other.names,
             other.times));
@@ -21,7 +29,7 @@
     }
 
     private static void differ(List<String> keys, String key, Object here, Object there) {
-        if (!here.equals(there)) {
+        if (!Objects.equals(here, there)) {
             keys.add(key);
         }
     }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -81,8 +81,10 @@
         if (sockets < LEAST_SOCKETS) {
             throw new ConfigError("limits.sockets", "at least " + LEAST_SOCKETS + " are needed");
         }
+        InetSocketAddress console = optional(root, env, "console", "BALANCER_CONSOLE");
+        sockets -= console == null ? 0 : Config.CONSOLE_PLACES + 2;      // never the clients'
         return new Config(string(root, env, "name", "BALANCER_NAME"),
-            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"),
+            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"), console,
             address(string(root, env, "discovery", "BALANCER_DISCOVERY"), "discovery"),
             seed(root), settings, names, sizes(sockets, Math.max(memoryMb, LEAST_MEMORY_MB)), times(settings),
             known(root, names));
@@ -271,6 +273,13 @@
         return text;
     }
 
+    /** Null where neither names one. */
+    private static InetSocketAddress optional(JsonObject root, Map<String, String> env, String key,
+            String variable) throws ConfigError {
+        boolean told = !env.getOrDefault(variable, "").isEmpty() || root.has(key) && !root.get(key).isJsonNull();
+        return told ? address(string(root, env, key, variable), key) : null;
+    }
+
     private static InetSocketAddress address(String text, String key) throws ConfigError {
         try {
             return RouteReader.address(text);
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -3,6 +3,8 @@
 import static maplespread.decision.Numbers.clamp;
 import static maplespread.decision.Numbers.draw;
 import static maplespread.decision.Numbers.fade;
+import static maplespread.decision.Numbers.hash;
+import static maplespread.decision.Numbers.mix;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -779,15 +781,17 @@
         return !w.down && now >= w.tryAt;
     }
 
+    /** How many listed workers get nothing new at present: leaving, down or resting. */
+    public int avoided() {
+        return (int) workers.all().stream().filter(w -> w.health != Health.ACTIVE || !ready(w)).count();
+    }
+
     /** Rule (25): the least cost over the ready workers, or any legal one where none is; refusal at one. */
     private void place(Req q) {
         if (priced != q) {
             priceAll(q, false);
         }
-        Worker best = workers.cheapest(REFUSED), seen = null;
-        for (Worker w : q.asked) {
-            seen = workers.cost(w) < (seen == null ? REFUSED : workers.cost(seen)) ? w : seen;
-        }
+        Worker best = workers.cheapest(REFUSED), seen = workers.cheapest(q.asked, REFUSED);
         boolean sure = seen != null && seen.free(q) && late(q, seen, 0) < 0.5;
         if (best != null && !sure && look(q, best)) {
             return;
@@ -934,20 +938,6 @@
         return q.key == 0 ? 0 : (FETCH + CRAMMED * Math.min(1, crammed / 2)) * miss * meanAll();
     }
 
-    private static long hash(String text) {
-        long h = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            h = (h ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return mix(h);
-    }
-
-    private static long mix(long h) {
-        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
-        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
-        return h ^ h >>> 32;
-    }
-
     private void send(Req q, Worker w) {
         Attempt a = new Attempt(q, w);
         if (w.held.isEmpty()) {
--- a/src/main/java/maplespread/decision/Numbers.java
+++ b/src/main/java/maplespread/decision/Numbers.java
@@ -28,4 +28,20 @@
     static double clamp(double x, double low, double high) {
         return x > low ? Math.min(x, high) : low;
     }
+
+    /** A text's hash, the same at all nodes. */
+    static long hash(String text) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return mix(h);
+    }
+
+    /** Spreads the bits. */
+    static long mix(long h) {
+        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
+        h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
+        return h ^ h >>> 32;
+    }
 }
--- a/src/main/java/maplespread/decision/Roster.java
+++ b/src/main/java/maplespread/decision/Roster.java
@@ -95,4 +95,13 @@
         }
         return best < 0 ? null : all.get(best);
     }
+
+    /** The same among these. */
+    W cheapest(List<W> among, double limit) {
+        W best = null;
+        for (W w : among) {
+            best = cost(w) < (best == null ? limit : cost(best)) ? w : best;
+        }
+        return best;
+    }
 }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import maplespread.decision.Dispatch;
 import maplespread.decision.Logic;
+import maplespread.figures.Figures;
 import org.tinylog.Logger;
 
 /**
@@ -24,6 +25,7 @@
         }
     }
 
+    private static final long COUNT_US = 100_000;                // the age of what hosts() tells
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition pending = lock.newCondition();       // a chore, or an earlier timer
     private final Dispatch.Settings settings;
@@ -36,6 +38,8 @@
     private final long startNanos = System.nanoTime();
     private long lastId;
     private long timerOrder;
+    private volatile Figures.Hosts hosts = new Figures.Hosts(0, 0);
+    private long countedUs;
 
     public Dispatcher(Dispatch.Settings settings, long seed) {
         this.settings = settings;
@@ -170,6 +174,10 @@
                     long label = timers.remove().label();
                     guarded("timer", () -> logic.timer(nowUs(), label));
                 }
+                if (now - countedUs > COUNT_US) {
+                    countedUs = now;
+                    hosts = new Figures.Hosts(routes.size(), logic.avoided());
+                }
                 long until = timers.isEmpty() ? end : Math.min(end, timers.peek().atUs());
                 if (!chores.isEmpty() || now >= end) {
                     List<Chore> all = List.copyOf(chores);
@@ -213,6 +221,11 @@
         }
     }
 
+    /** The workers on the list and those avoided, as of the last ticks; waits for nobody. */
+    public Figures.Hosts hosts() {
+        return hosts;
+    }
+
     /** The addresses of all workers that are on the list. */
     public List<String> addresses() {
         lock.lock();
--- /dev/null
+++ b/src/main/java/maplespread/figures/Figures.java
@@ -0,0 +1,145 @@
+package maplespread.figures;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.tinylog.Logger;
+
+/**
+ * Counts from the process's start; they never go back, also not over a reload that drops a class. All may be added
+ * to and read by any thread without a lock.
+ */
+public final class Figures {
+    /** How a job ended for its client. */
+    public enum Code { SUCCESS, BUSY, FAILURE }
+
+    /** Workers on the list, and how many of these get nothing new at present. */
+    public record Hosts(int listed, int down) { }
+
+    private static final class PerClass {
+        final LongAdder[] ended = {new LongAdder(), new LongAdder(), new LongAdder()};
+    }
+
+    private final Map<String, PerClass> classes = new ConcurrentSkipListMap<>();
+    private final LongAdder taken = new LongAdder();
+    private final LongAdder over = new LongAdder();
+    private final LongAdder attempts = new LongAdder();
+    private final LongAdder reconfigOk = new LongAdder();
+    private final LongAdder reconfigFailed = new LongAdder();
+    private final LongAdder faulty = new LongAdder();
+    private final LongAdder shed = new LongAdder();
+    private final LongAdder left = new LongAdder();
+    private final LongAdder unread = new LongAdder();
+    private volatile Hosts hosts = new Hosts(0, 0);
+    private long[] logged = new long[7];
+
+    /** Has these classes shown, at 0 where nothing has come of them. */
+    public void show(Collection<String> names) {
+        names.forEach(name -> classes.computeIfAbsent(name, n -> new PerClass()));
+    }
+
+    /** A job has been taken whole: an answer is owed. */
+    public void taken() {
+        taken.increment();
+    }
+
+    /** A taken job is over: answered, or its client has left. */
+    public void over() {
+        over.increment();
+    }
+
+    /** A job's final answer has been written to its client. */
+    public void answered(String cls, Code code) {
+        classes.computeIfAbsent(cls, n -> new PerClass()).ended[code.ordinal()].increment();
+    }
+
+    /** The last byte of an attempt has been written to a worker. */
+    public void attempt() {
+        attempts.increment();
+    }
+
+    /** A request that no worker may see was turned down; it is no job. */
+    public void faulty() {
+        faulty.increment();
+    }
+
+    /** A silent connection was closed for a new one. */
+    public void shed() {
+        shed.increment();
+    }
+
+    /** A client left before its answer. */
+    public void left() {
+        left.increment();
+    }
+
+    /** A connection was refused unread, as no thread was left for it: what it brought is of no class. */
+    public void unread() {
+        unread.increment();
+    }
+
+    public void reconfigured(boolean ok) {
+        (ok ? reconfigOk : reconfigFailed).increment();
+    }
+
+    public void hosts(Hosts now) {
+        hosts = now;
+    }
+
+    /** How many jobs are taken and not over. */
+    public long inflight() {
+        long ended = over.sum();                                 // first: else it could come out below 0
+        return Math.max(0, taken.sum() - ended);
+    }
+
+    /** All figures, a line each, by the operators' names. */
+    public String text() {
+        StringBuilder all = new StringBuilder(1024);
+        classes.forEach((name, c) -> {
+            for (Code code : Code.values()) {
+                all.append("app_calls{tier=\"").append(name).append("\",code=\"")
+                    .append(code.name().toLowerCase(java.util.Locale.ROOT)).append("\"} ")
+                    .append(c.ended[code.ordinal()].sum()).append('\n');
+            }
+        });
+        Hosts now = hosts;
+        line(all, "backend_calls", attempts.sum());
+        line(all, "inflight", inflight());
+        line(all, "hosts_listed", now.listed());
+        line(all, "hosts_down", now.down());
+        line(all, "reconfig_ok", reconfigOk.sum());
+        line(all, "reconfig_failed", reconfigFailed.sum());
+        return all.toString();
+    }
+
+    private static void line(StringBuilder all, String name, long value) {
+        all.append("app_").append(name).append(' ').append(value).append('\n');
+    }
+
+    /** Writes what came since the last line in the log; nothing where nothing did. From one thread. */
+    public void log(int legs) {
+        long[] now = new long[7];
+        for (PerClass c : classes.values()) {
+            for (int i = 0; i < 3; i++) {
+                now[i] += c.ended[i].sum();
+            }
+        }
+        now[3] = left.sum();
+        now[4] = faulty.sum();
+        now[5] = shed.sum();
+        now[6] = unread.sum();
+        Object[] d = new Object[8];
+        boolean any = false;
+        for (int i = 0; i < 7; i++) {
+            d[i] = now[i] - logged[i];
+            any |= now[i] != logged[i];
+        }
+        d[7] = legs;
+        logged = now;
+        if (any) {
+            Logger.info("served {}, busy {}, failed {}, clients left {}; faulty requests {}, silent legs "
+                + "closed for others {}, refused unread {}; {} caller legs", d);
+        }
+    }
+}
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -9,6 +9,7 @@
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Load;
 import maplespread.facade.Outcome;
+import maplespread.figures.Figures;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
 import maplespread.http.HttpHead;
@@ -90,13 +91,15 @@
     private final long firstByteMs;
     private final Links links;
     private final Dispatcher dispatcher;
+    private final Figures figures;
     private final Seldom seldom = new Seldom();
     private final Map<Branch, Running> running = new ConcurrentHashMap<>();
 
-    public Branches(Config config, Links links, Dispatcher dispatcher) {
+    public Branches(Config config, Links links, Dispatcher dispatcher, Figures figures) {
         firstByteMs = config.times().firstByteMs();
         this.links = links;
         this.dispatcher = dispatcher;
+        this.figures = figures;
     }
 
     /** Gives a branch up by closing its connection. */
@@ -146,6 +149,7 @@
         message.fields().forEach(f -> request.field(f[0], f[1]));
         try {
             link.connection.send(request.body(message.body()));
+            figures.attempt();
         } catch (IOException e) {                                // its last byte was never written
             links.close(link);
             links.used(link, true);
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -70,7 +70,7 @@
     void newPackagesSayWhatTheyOwn() throws IOException {
         for (String p : List.of("log", "registry", "registry/wire", "registry/client", "routes", "cli", "lab",
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
-                "address", "announce")) {
+                "address", "announce", "console", "figures")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
         try (Stream<Path> all = Files.walk(Path.of("src/main/java/maplespread/registry"))) {
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -239,6 +239,37 @@
             + "\r\nX-Estimate: 50000\r\nContent-Length: 4\r\n\r\nbody";
     }
 
+    /** With a console, on a port of its own. */
+    static Config console(Config c) {
+        return new Config(c.name(), c.listen(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            c.discovery(), c.seed(), c.settings(), c.names(), c.sizes(), c.times(), c.known());
+    }
+
+    /** One call at the console. */
+    Call call(String startLine) throws IOException {
+        try (HttpConnection link = dialConsole()) {
+            link.send((startLine + " HTTP/1.1\r\nHost: c\r\n\r\n").getBytes());
+            return call(link, body -> HttpParser.response(1 << 20, body));
+        }
+    }
+
+    HttpConnection dialConsole() throws IOException {
+        return HttpConnection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+            server.consolePort()), LIMIT_MS);
+    }
+
+    /** One of the operators' figures. */
+    long figure(String name) {
+        try {
+            String text = '\n' + call("GET /admin/stats").body;
+            int at = text.indexOf('\n' + name + ' ');
+            assertTrue(name + " is missing in" + text, at >= 0);
+            return Long.parseLong(text.substring(at + name.length() + 2, text.indexOf('\n', at + 1)));
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Waits for a condition, not for a time. */
     static void until(String what, BooleanSupplier condition) {
         long end = System.nanoTime() + LIMIT_MS * 1_000_000;
