A process replaces another of its dispatcher in place: shared address, notes in TMPDIR

Change: package upgrade (Note, Presence: locked files, remains of dead processes cleared); SO_REUSEPORT where a console is named; the new one listens once it has the list, the old one then closes its listener as soon as its queue is empty and ends connections with their answers; two fifths of the sizes each while both live (Room, Links, Listener ask). Measured: five replacements under load in a story, no job lost, no order twice, at most two turned back each.

--- a/src/main/java/maplespread/Main.java
+++ b/src/main/java/maplespread/Main.java
@@ -92,6 +92,14 @@
      * start on a part of a core takes its classes: a restart is an outage for as long as it lasts.
      */
     private static void rehearse(Server server) {
+        for (String call : new String[] {"GET /admin/health", "GET /admin/stats"}) {
+            try (HttpConnection link = HttpConnection.dial(server.consoleAddress(), 1000)) {
+                link.send((call + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                link.receive(HttpParser.response(1 << 16, (bytes, at, length) -> { }), 1000);
+            } catch (IOException | IllegalStateException e) {
+                Logger.warn("the rehearsal's call was cut short: {}", e.getMessage());
+            }
+        }
         try (HttpConnection link = HttpConnection.dial(server.address(), 1000)) {
             for (String request : new String[] {"GET /ready", "POST /catalogue-page/x"}) {
                 link.send((request + " HTTP/1.1\r\nHost: h\r\nX-Txn: r\r\nX-Lane: catalogue-page\r\n"
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
@@ -33,6 +35,8 @@
 import maplespread.routes.RouteReader;
 import maplespread.routes.RouteSet;
 import maplespread.routes.RouteSink;
+import maplespread.upgrade.Note;
+import maplespread.upgrade.Presence;
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
 import maplespread.worker.Prober;
@@ -46,6 +50,8 @@
     private static final int ENDING_LEGS = 64;
     private static final long SWEEP_MS = 1000;
     private static final long COUNT_MS = 10_000;
+    private static final long LIST_MS = 1500;                    // for the list, where another one serves
+    private static final long SWIFT_MS = 500;                    // quiet so long, a connection may end
     private static final long LAST_MS = 100;                     // for the last answers' way
 
     /** Where a new configuration comes from; the operators' file is read whole or not at all. */
@@ -77,6 +83,9 @@
     private long countedAt = sweptAt;
     private final Figures figures = new Figures();
     private Console console;                                     // null: none is named
+    private Presence presence;                                   // null: no other process is looked for
+    private volatile boolean shared;                             // another one of this dispatcher lives
+    private final CountDownLatch told = new CountDownLatch(1);   // of the route set, since the start
 
     /** {@code source}: asked at each reload. */
     public Server(Config config, Source source) {
@@ -89,7 +98,7 @@
         this.source = source;
         probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed());
-        links = new Links(config);
+        links = new Links(config, this::sizes);
         branches = new Branches(config, links, dispatcher, figures);
         figures.show(config.names().classes());
         prober = new Prober(config, links, dispatcher);
@@ -97,6 +106,7 @@
         routes = new Handover(maker(config, registry), new RouteSink() {
             @Override public void news(RouteNews news) {
                 dispatcher.report(news);
+                told.countDown();
                 tap.accept(news);
             }
 
@@ -116,36 +126,70 @@
         return sink -> new RegistrySource(from, reader, config.settings().balancers(), config.seed(), sink);
     }
 
-    /** Opens the listener and serves from the list last known; returns at once. */
+    /**
+     * Opens the listener and serves from the list last known. Where another process of this dispatcher is to be
+     * relieved, not before it has the list anew, or has waited a while: until then the other one serves.
+     */
     public void start() throws IOException {
         dispatcher.report(config.known());
         if (config.console() != null) {
             console = new Console(config.console(), Config.CONSOLE_PLACES, new Calls(lifecycle::accepting,
                 this::figures, lifecycle::quiesce, lifecycle::resume));
             console.start();
+            join();
+        }
+        parts.forEach(Thread::start);
+        routes.start();
+        try {
+            if (shared && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
+                Logger.warn("no list within {} ms: serves from the one last known", LIST_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         socket = new ServerSocket();
         socket.setReuseAddress(true);
+        if (config.console() != null) {                          // beside the process that this one relieves
+            socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
         InetSocketAddress at = config.listen();
         socket.bind(at, BACKLOG);
         Service service = new Service(config, dispatcher, branches,
-            threads("transaction", config.sizes().transactions() + 8), figures, lifecycle::serving, routes::unready,
+            threads("transaction", config.sizes().transactions() + 8), this::sizes, figures, lifecycle::serving, routes::unready,
             () -> lifecycle.phase().ordinal() >= Lifecycle.Phase.FINISHING.ordinal(), () -> lastUs);
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
-        lifecycle.enter(Lifecycle.Phase.SERVING);
-        parts.forEach(Thread::start);
-        routes.start();
         thread("listener", listener).start();
+        say(Note.State.SERVING);
+        lifecycle.enter(Lifecycle.Phase.SERVING);
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
 
+    /** How much may be held now: part of it while another process of this dispatcher lives. */
+    private Config.Sizes sizes() {
+        return shared ? config.sizes().shared() : config.sizes();
+    }
+
     /** What the operators are shown. */
     private String figures() {
         figures.hosts(dispatcher.hosts());
         return figures.text();
     }
 
+    private void join() {
+        if (config.tmp() != null) {
+            presence = Presence.join(config.tmp(), config.listen().getAddress().getHostAddress() + ':'
+                + config.listen().getPort()).orElse(null);
+            shared = presence != null && presence.shared();
+        }
+    }
+
+    private void say(Note.State state) {
+        if (presence != null) {
+            presence.say(state);
+        }
+    }
+
     /** Has the configuration read anew; asked several times at once, it is read after the last of them. */
     public void reload() {
         reloads.release();
@@ -206,9 +250,12 @@
         return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
-    /** The port of the operators' address. */
-    public int consolePort() {
-        return console.port();
+    /** The operators' address; an IllegalStateException where there is none. */
+    public InetSocketAddress consoleAddress() {
+        if (console == null) {
+            throw new IllegalStateException("no console");
+        }
+        return console.address();
     }
 
     /** The port that is listened on. */
@@ -235,8 +282,19 @@
             long start = System.nanoTime();
             long end = start + config.times().endMs() * ms;
             lastUs = dispatcher.nowUs() + (config.times().endMs() - LAST_MS) * 1000;
-            Thread.sleep(config.times().acceptMs());
+            boolean relieved = presence != null && presence.relieved();
+            say(Note.State.ENDING);
+            if (relieved) {                                      // who serves beside it accepts all from now on
+                Logger.info("another process of this dispatcher has taken over");
+                listener.close();
+                lifecycle.enter(Lifecycle.Phase.FINISHING);
+            } else {
+                Thread.sleep(config.times().acceptMs());
+            }
             while (listener.size() > 0 && System.nanoTime() - start < config.times().holdMs() * ms) {
+                if (relieved) {
+                    listener.endQuiet(SWIFT_MS);
+                }
                 Thread.sleep(10);
             }
             // Not before: closing resets what the system has accepted and this program not yet, and on a part
@@ -255,6 +313,9 @@
         if (console != null) {
             console.close();
         }
+        if (presence != null) {
+            presence.close();
+        }
         lifecycle.enter(Lifecycle.Phase.STOPPED);
     }
 
@@ -274,7 +335,10 @@
                     sweptAt = System.nanoTime();
                     links.sweep(new HashSet<>(dispatcher.addresses()));
                     branches.sweep();
-                    listener.sweep();
+                    if (listener != null) {
+                        listener.sweep();
+                    }
+                    shared = presence != null && presence.shared();
                     count();
                 }
             } catch (InterruptedException e) {
@@ -288,7 +352,7 @@
     private void count() {
         if (System.nanoTime() - countedAt > COUNT_MS * 1_000_000) {
             countedAt = System.nanoTime();
-            figures.log(listener.size());
+            figures.log(listener == null ? 0 : listener.size());
         }
     }
 
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -41,6 +41,7 @@
     private volatile boolean useful;                             // it has brought a request worth an answer
     private volatile Answer current;                             // null where no whole request is held
     private volatile boolean ending;
+    private volatile boolean reading;                            // a request has begun and is not whole
     private boolean answered;
     private int faults;                                          // unacceptable requests in a row
 
@@ -82,6 +83,11 @@
         return idle() && !connection.pending();
     }
 
+    /** The same, and no part of a request either: it may end with nobody the worse for it. */
+    boolean quiet() {
+        return silent() && !reading;
+    }
+
     void cutIfStuck() {
         connection.cutIfStuck(times.legReadMs());
     }
@@ -138,6 +144,7 @@
         Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()),
             service.figures());
         quietSince = System.nanoTime();
+        reading = true;
         boolean large = false;
         try {
             connection.receiveBy(parser, whole, true);
@@ -158,6 +165,7 @@
             }
             connection.receiveBy(parser, whole, false);
             current = answer;
+            reading = false;
             long lastByteUs = dispatcher.nowUs();
             HttpHead head = parser.head();
             if (early()) {
@@ -169,6 +177,7 @@
             // After malformed framing nothing on the connection can be trusted; a mere wrong value may go on.
             fault(answer, bad.status(), bad.getMessage());
         } finally {
+            reading = false;
             if (large) {
                 service.largeRoom().release();
             }
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -86,7 +86,7 @@
      * costs it a new one, closing a newcomer's costs its first request, whose bytes are on their way.
      */
     private boolean room() {
-        if (legs.size() < service.config().sizes().legs()) {
+        if (legs.size() < service.sizes().get().legs()) {
             return true;
         }
         CallerLeg silent = longestSilent(1, UNTRIED);
@@ -102,7 +102,7 @@
      * may hold: connections that they keep and do not use would leave them none for their next requests.
      */
     private void freeClients() {
-        if (legs.stream().filter(l -> l.useful() && !l.ending()).count() > service.config().sizes().kept()) {
+        if (legs.stream().filter(l -> l.useful() && !l.ending()).count() > service.sizes().get().kept()) {
             end(longestSilent(1, 0));
         }
     }
@@ -154,13 +154,23 @@
     /** Ends the legs that wait for a request; returns how many legs are left. */
     public int endIdle() {
         for (CallerLeg leg : legs) {
-            if (leg.idle()) {
+            if (leg.quiet()) {
                 leg.end();
             }
         }
         return legs.size();
     }
 
+    /** Ends the legs that have been quiet for so long, and of which nothing has come that is not answered. */
+    public void endQuiet(long ms) {
+        long before = System.nanoTime() - ms * 1_000_000;
+        for (CallerLeg leg : legs) {
+            if (leg.quiet() && leg.quietSince() - before < 0) {
+                leg.end();
+            }
+        }
+    }
+
     /** Answers what is still in work as failed. */
     public void failAll() {
         legs.forEach(CallerLeg::fail);
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -11,12 +11,12 @@
 import maplespread.worker.Branches;
 
 /**
- * What all caller legs share. {@code serving}: false from the start of the shutdown on; {@code unready}:
+ * What all caller legs share. {@code sizes}: how much may be held at present; {@code serving}: false from the start of the shutdown on; {@code unready}:
  * why the workers known are not to be relied on, or null; {@code finishing}:
  * whether connections are to end after their present requests; {@code lastUs}: no request may last beyond it.
  */
 public record Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-                      Semaphore room, Semaphore largeRoom, Ids ids, Figures figures, BooleanSupplier serving,
+                      Supplier<Config.Sizes> sizes, Room room, Semaphore largeRoom, Ids ids, Figures figures, BooleanSupplier serving,
                       Supplier<String> unready, BooleanSupplier finishing, LongSupplier lastUs) {
     /** Bodies above this length are few, and so many at once fit the heap. */
     static final int LARGE = 8 * 1024;
@@ -24,9 +24,9 @@
 
     /** With all room free. */
     public Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-            Figures figures, BooleanSupplier serving, Supplier<String> unready, BooleanSupplier finishing,
+            Supplier<Config.Sizes> sizes, Figures figures, BooleanSupplier serving, Supplier<String> unready, BooleanSupplier finishing,
             LongSupplier lastUs) {
-        this(config, dispatcher, branches, transactions, new Semaphore(config.sizes().transactions()),
+        this(config, dispatcher, branches, transactions, sizes, new Room(() -> sizes.get().transactions()),
             new Semaphore(LARGE_AT_ONCE), new Ids(config.times().longestMs()), figures, serving,
             unready, finishing, lastUs);
     }
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -1,6 +1,7 @@
 package maplespread.config;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -9,9 +10,9 @@
 
 /**
  * All that a dispatcher is told, read and checked by {@link ConfigReader}. {@code console}: where the operators
- * call, or null.
+ * call, or null; {@code tmp}: the directory that processes of one dispatcher share, or null.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress console,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress console, Path tmp,
                      InetSocketAddress discovery, long seed, Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
     /** The operators' connections at once; their descriptors are not the clients'. */
     public static final int CONSOLE_PLACES = 12;
@@ -43,7 +44,20 @@
      * of these, beyond how many the longest idle end, {@code links}: worker connections, in use or idle,
      * {@code idleLinks}: of these, how many may be idle whatever is in use.
      */
-    public record Sizes(int transactions, int legs, int kept, int links, int idleLinks, int probes) { }
+    public record Sizes(int transactions, int legs, int kept, int links, int idleLinks, int probes) {
+        /**
+         * For each of two processes that are one dispatcher: two fifths, as each has descriptors and memory of
+         * its own beside these.
+         */
+        public Sizes shared() {
+            return new Sizes(part(transactions), part(legs), part(kept), part(links), part(idleLinks),
+                part(probes));
+        }
+
+        private static int part(int n) {
+            return Math.max(1, n * 2 / 5);
+        }
+    }
 
     /**
      * Time limits in milliseconds that are not the module's. {@code firstByteMs}: for a worker to say that it
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -84,7 +84,7 @@
         InetSocketAddress console = optional(root, env, "console", "BALANCER_CONSOLE");
         sockets -= console == null ? 0 : Config.CONSOLE_PLACES + 2;      // never the clients'
         return new Config(string(root, env, "name", "BALANCER_NAME"),
-            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"), console,
+            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"), console, path(env.get("TMPDIR")),
             address(string(root, env, "discovery", "BALANCER_DISCOVERY"), "discovery"),
             seed(root), settings, names, sizes(sockets, Math.max(memoryMb, LEAST_MEMORY_MB)), times(settings),
             known(root, names));
@@ -273,6 +273,10 @@
         return text;
     }
 
+    private static Path path(String text) {
+        return text == null || text.isEmpty() ? null : Path.of(text);
+    }
+
     /** Null where neither names one. */
     private static InetSocketAddress optional(JsonObject root, Map<String, String> env, String key,
             String variable) throws ConfigError {
--- a/src/main/java/maplespread/console/Console.java
+++ b/src/main/java/maplespread/console/Console.java
@@ -44,8 +44,8 @@
         }
     }
 
-    public int port() {
-        return socket.getLocalPort();
+    public InetSocketAddress address() {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
     /** Begins; returns at once. */
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.http.HttpConnection;
 import maplespread.routes.RouteReader;
@@ -35,14 +36,17 @@
 
     private static final long LEAST_IDLE_NANOS = 100_000_000L;
     private final Config config;
+    private final Supplier<Config.Sizes> sizes;
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private int idleCount;
     private int out;                                             // in use, or being connected
     private long idleNanos;                                      // how long an idle one is trusted
     private double broken;                                       // share of kept ones that broke, of late
 
-    public Links(Config config) {
+    /** {@code sizes}: how much may be held at present. */
+    public Links(Config config, Supplier<Config.Sizes> sizes) {
         this.config = config;
+        this.sizes = sizes;
         idleNanos = config.times().linkIdleMs() * 1_000_000;
     }
 
@@ -106,7 +110,8 @@
 
     /** How many may be idle beside those in use. */
     private int room() {
-        return Math.max(config.sizes().idleLinks(), config.sizes().links() - out);
+        Config.Sizes now = sizes.get();
+        return Math.max(now.idleLinks(), now.links() - out);
     }
 
     private synchronized void notMade() {
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -70,7 +70,8 @@
     void newPackagesSayWhatTheyOwn() throws IOException {
         for (String p : List.of("log", "registry", "registry/wire", "registry/client", "routes", "cli", "lab",
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
-                "address", "announce", "console", "figures")) {
+                "address", "announce", "console", "figures",
+                "upgrade")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
         try (Stream<Path> all = Files.walk(Path.of("src/main/java/maplespread/registry"))) {
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -179,7 +180,7 @@
     }
 
     final Peer discovery;
-    final Server server;
+    Server server;                                               // a story may replace it
     volatile String file;                                        // what a reload reads
     volatile Runnable beforeReading = () -> { };
 
@@ -241,7 +242,11 @@
 
     /** With a console, on a port of its own. */
     static Config console(Config c) {
-        return new Config(c.name(), c.listen(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        return console(c, c.listen(), null);
+    }
+
+    static Config console(Config c, InetSocketAddress listen, Path tmp) {
+        return new Config(c.name(), listen, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), tmp,
             c.discovery(), c.seed(), c.settings(), c.names(), c.sizes(), c.times(), c.known());
     }
 
@@ -254,8 +259,11 @@
     }
 
     HttpConnection dialConsole() throws IOException {
-        return HttpConnection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-            server.consolePort()), LIMIT_MS);
+        return dialConsole(server);
+    }
+
+    static HttpConnection dialConsole(Server server) throws IOException {
+        return HttpConnection.dial(server.consoleAddress(), LIMIT_MS);
     }
 
     /** One of the operators' figures. */
--- a/src/test/java/maplespread/net/OperationStoriesTest.java
+++ b/src/test/java/maplespread/net/OperationStoriesTest.java
@@ -6,16 +6,28 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicIntegerArray;
+import maplespread.Server;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
 import maplespread.http.HttpConnection;
 import maplespread.net.Loopback.Call;
 import maplespread.net.Loopback.Client;
 import maplespread.net.Loopback.Peer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** What the operators' staff do with a running dispatcher, over loopback. */
 class OperationStoriesTest {
@@ -130,4 +142,91 @@
             until("both are listed", () -> here.figure("app_hosts_listed") == 2);
         }
     }
+
+    /** A client that keeps its connection, and sends a request that its close has crossed once more, as it may. */
+    private static final class Keeper extends Thread {
+        final Loopback here;
+        final int me;
+        final AtomicInteger turnedBack;
+        final Queue<String> wrong;
+        volatile boolean over;
+        int jobs;
+
+        Keeper(Loopback here, int me, AtomicInteger turnedBack, Queue<String> wrong) {
+            this.here = here;
+            this.me = me;
+            this.turnedBack = turnedBack;
+            this.wrong = wrong;
+        }
+
+        @Override public void run() {
+            Client client = null;
+            while (!over) {
+                String lane = jobs % 2 == 0 ? "page" : "order";
+                String id = "k" + me + '-' + jobs++;
+                for (int tries = 0; tries < 3; tries++) {
+                    try {
+                        client = client == null ? here.new Client() : client;
+                        Call answer = client.send(job(lane, id, 4000)).answer();
+                        if (answer.head.status() != 200 && answer.head.status() != 503) {
+                            wrong.add(id + ": " + answer.head.status());
+                        }
+                        client = answer.head.keepsAlive() ? client : null;
+                        break;
+                    } catch (IOException crossed) {
+                        client = null;
+                        turnedBack.incrementAndGet();
+                        if (tries == 2) {
+                            wrong.add(id + ": " + crossed);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards an upgrade: what clients send meanwhile is answered, and no order runs twice. */
+    @Test
+    void fiveReplacementsUnderLoadLoseNothing(@TempDir Path dir) throws Exception {
+        try (Peer worker = new Peer(DONE);
+             Loopback here = new Loopback(c -> Loopback.console(c, c.listen(), null), worker)) {
+            here.server.stop();                                  // its port is free, and taken for a fixed one
+            here.discovery.script = call -> {
+                call.open();
+                call.line(Loopback.list(2, true, "SERVING", worker));
+            };
+            InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), here.server.port());
+            Config config = Loopback.console(ConfigReader.read(here.file, Map.of()), at, dir);
+            here.server = new Server(config, () -> config);
+            here.server.start();
+            AtomicInteger turnedBack = new AtomicInteger();
+            Queue<String> wrong = new ConcurrentLinkedQueue<>();
+            List<Keeper> keepers = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                keepers.add(new Keeper(here, i, turnedBack, wrong));
+                keepers.get(i).start();
+            }
+            for (int i = 0; i < 5; i++) {
+                int before = worker.calls.size();
+                until("load", () -> worker.calls.size() > before + 30);
+                Server old = here.server;
+                Server next = new Server(config, () -> config);
+                next.start();
+                assertTrue(next.lifecycle().serving());
+                old.stop();
+                here.server = next;
+            }
+            for (Keeper k : keepers) {
+                k.over = true;
+                k.join(Loopback.LIMIT_MS);
+            }
+            assertTrue(wrong.isEmpty(), wrong.toString());
+            assertTrue(turnedBack.get() <= 10, "two an upgrade: " + turnedBack);
+            Set<String> orders = new HashSet<>();
+            for (Call call : worker.calls) {
+                assertTrue(call.head.target().startsWith("/page") || orders.add(call.id()), "twice: " + call.id());
+            }
+            assertTrue(orders.size() > 50, "orders came: " + orders.size());
+        }
+    }
 }
