A drain by call: connections end with their answers, idle ones once they are quiet

Need: after POST /admin/quiesce clients still held connections 4 s later, which broke the rule on lost jobs. Change: Lifecycle.parting ends connections with their answers in QUIESCED and beyond; the ticker closes quiet ones (0.5 s, from 1 s on 0.2 s); a request that has begun is left to be whole. Measured: stories for a drain with jobs in work, a reload in it, SIGTERM from it.

--- a/src/main/java/maplespread/Lifecycle.java
+++ b/src/main/java/maplespread/Lifecycle.java
@@ -38,6 +38,11 @@
         return serving() || quiesced();
     }
 
+    /** Whether connections end with their answers: after a drain by call, and when finishing. */
+    public synchronized boolean parting() {
+        return settled == Phase.QUIESCED || phase.ordinal() >= Phase.FINISHING.ordinal();
+    }
+
     private synchronized boolean in(Phase asked) {
         return phase == asked || phase == Phase.RELOADING && settled == asked;
     }
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -52,6 +52,9 @@
     private static final long COUNT_MS = 10_000;
     private static final long LIST_MS = 1500;                    // for the list, where another one serves
     private static final long SWIFT_MS = 500;                    // quiet so long, a connection may end
+    private static final long QUIET_MS = 50;                     // between looks for these
+    private static final long PART_MS = 1000;                    // of a drain, then this is enough:
+    private static final long LATE_MS = 200;
     private static final long LAST_MS = 100;                     // for the last answers' way
 
     /** Where a new configuration comes from; the operators' file is read whole or not at all. */
@@ -81,6 +84,7 @@
     private volatile long lastUs = Long.MAX_VALUE;               // by when all must be answered
     private long sweptAt = System.nanoTime();
     private long countedAt = sweptAt;
+    private long drainedAt;                                      // 0: no drain by call
     private final Figures figures = new Figures();
     private Console console;                                     // null: none is named
     private Presence presence;                                   // null: no other process is looked for
@@ -156,7 +160,7 @@
         socket.bind(at, BACKLOG);
         Service service = new Service(config, dispatcher, branches,
             threads("transaction", config.sizes().transactions() + 8), this::sizes, figures, lifecycle::serving, routes::unready,
-            () -> lifecycle.phase().ordinal() >= Lifecycle.Phase.FINISHING.ordinal(), () -> lastUs);
+            lifecycle::parting, () -> lastUs);
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         thread("listener", listener).start();
@@ -322,7 +326,7 @@
     private void tick() {
         while (true) {
             try {
-                for (Chore chore : dispatcher.tick(SWEEP_MS)) {
+                for (Chore chore : dispatcher.tick(lifecycle.quiesced() ? QUIET_MS : SWEEP_MS)) {
                     if (chore instanceof Chore.Probe probe) {
                         probe(probe);
                     } else if (chore instanceof Chore.Cancel cancel) {
@@ -331,6 +335,7 @@
                         routes.watch();
                     }
                 }
+                part();
                 if (System.nanoTime() - sweptAt > SWEEP_MS * 1_000_000) {
                     sweptAt = System.nanoTime();
                     links.sweep(new HashSet<>(dispatcher.addresses()));
@@ -349,6 +354,17 @@
         }
     }
 
+    /** During a drain by call: connections that are not in use end, later ones sooner. */
+    private void part() {
+        if (!lifecycle.quiesced() || listener == null) {
+            drainedAt = 0;
+            return;
+        }
+        drainedAt = drainedAt == 0 ? System.nanoTime() : drainedAt;
+        boolean late = System.nanoTime() - drainedAt > PART_MS * 1_000_000;
+        listener.endQuiet(late ? LATE_MS : SWIFT_MS);
+    }
+
     private void count() {
         if (System.nanoTime() - countedAt > COUNT_MS * 1_000_000) {
             countedAt = System.nanoTime();
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -215,7 +215,7 @@
     /** Whether the connection is to end after this request. */
     private boolean ends(HttpHead head) {
         return turnAway || ending || faults >= MOST_FAULTS || !head.keepsAlive()
-            || service.finishing().getAsBoolean();
+            || service.parting().getAsBoolean();
     }
 
     /**
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -12,22 +12,22 @@
 
 /**
  * What all caller legs share. {@code sizes}: how much may be held at present; {@code serving}: false from the start of the shutdown on; {@code unready}:
- * why the workers known are not to be relied on, or null; {@code finishing}:
+ * why the workers known are not to be relied on, or null; {@code parting}:
  * whether connections are to end after their present requests; {@code lastUs}: no request may last beyond it.
  */
 public record Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
                       Supplier<Config.Sizes> sizes, Room room, Semaphore largeRoom, Ids ids, Figures figures, BooleanSupplier serving,
-                      Supplier<String> unready, BooleanSupplier finishing, LongSupplier lastUs) {
+                      Supplier<String> unready, BooleanSupplier parting, LongSupplier lastUs) {
     /** Bodies above this length are few, and so many at once fit the heap. */
     static final int LARGE = 8 * 1024;
     private static final int LARGE_AT_ONCE = 48;
 
     /** With all room free. */
     public Service(Config config, Dispatcher dispatcher, Branches branches, ExecutorService transactions,
-            Supplier<Config.Sizes> sizes, Figures figures, BooleanSupplier serving, Supplier<String> unready, BooleanSupplier finishing,
+            Supplier<Config.Sizes> sizes, Figures figures, BooleanSupplier serving, Supplier<String> unready, BooleanSupplier parting,
             LongSupplier lastUs) {
         this(config, dispatcher, branches, transactions, sizes, new Room(() -> sizes.get().transactions()),
             new Semaphore(LARGE_AT_ONCE), new Ids(config.times().longestMs()), figures, serving,
-            unready, finishing, lastUs);
+            unready, parting, lastUs);
     }
 }
--- a/src/test/java/maplespread/net/OperationStoriesTest.java
+++ b/src/test/java/maplespread/net/OperationStoriesTest.java
@@ -3,6 +3,7 @@
 import static maplespread.net.Loopback.job;
 import static maplespread.net.Loopback.until;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -17,8 +18,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicIntegerArray;
+import maplespread.Lifecycle.Phase;
 import maplespread.Server;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -143,6 +147,77 @@
         }
     }
 
+    /** Guards a drain: clients go without losing a request, and come again after it. */
+    @Test
+    void aDrainSendsClientsAwayWithTheirAnswers() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(Loopback::console, worker);
+             Client idle = here.new Client(); Client silent = here.new Client(); Client busy = here.new Client()) {
+            assertEquals(200, idle.status(job("page", "a", 4000)));
+            assertEquals(200, busy.status(job("page", "b", 4000)));
+            CountDownLatch go = new CountDownLatch(1);
+            worker.script = call -> {
+                await(go);
+                DONE.answer(call);
+            };
+            busy.send(job("order", "c", 4000));
+            assertEquals(200, here.call("POST /admin/quiesce").head.status());
+            assertEquals(503, ready(here));
+            until("idle connections end", () -> ended(idle.link) && ended(silent.link));
+            try (Client late = here.new Client()) {
+                late.send(job("page", "d", 4000));
+                go.countDown();
+                for (Client client : List.of(busy, late)) {
+                    Call answer = client.answer();
+                    assertEquals(200, answer.head.status(), "a job in a drain is served as ever");
+                    assertTrue(answer.head.lists("Connection", "close"));
+                }
+            }
+            here.server.reload();
+            assertEquals(200, here.call("POST /admin/quiesce").head.status());
+            until("the reload is over", () -> here.figure("app_reconfig_ok") == 1
+                && here.server.lifecycle().phase() == Phase.QUIESCED);
+            assertEquals(503, ready(here));
+            assertEquals(200, here.call("POST /admin/resume").head.status());
+            assertEquals(200, ready(here));
+            try (Client client = here.new Client()) {
+                assertFalse(client.send(job("page", "e", 4000)).answer().head.lists("Connection", "close"));
+            }
+        }
+    }
+
+    /** Guards the end of a process that has been drained: SIGTERM goes on from there, and no call turns it back. */
+    @Test
+    void aShutdownGoesOnFromADrain() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(Loopback::console, worker)) {
+            assertEquals(200, here.call("POST /admin/quiesce").head.status());
+            Thread stop = new Thread(here.server::stop);
+            stop.start();
+            here.server.lifecycle().await(Phase.DRAINING);
+            for (String call : new String[] {"POST /admin/quiesce", "POST /admin/resume", "GET /admin/health"}) {
+                assertTrue(here.call(call).head.status() >= 409, call);
+            }
+            try (Client client = here.new Client()) {
+                assertEquals(200, client.status(job("page", "a", 4000)), "it still accepts for a moment");
+            }
+            stop.join(Loopback.LIMIT_MS);
+            assertEquals(Phase.STOPPED, here.server.lifecycle().phase());
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static int ready(Loopback here) throws IOException {
+        try (Client client = here.new Client()) {
+            return client.status("GET /ready HTTP/1.1\r\nHost: t\r\n\r\n");
+        }
+    }
+
     /** A client that keeps its connection, and sends a request that its close has crossed once more, as it may. */
     private static final class Keeper extends Thread {
         final Loopback here;
