Settings are taken up at SIGHUP: classes come, go and change, jobs keep their own rules

Change: Config.after keeps classes at their places and turns a file down that lacks a key of the running one; one event settings() in the module, which keeps what it learnt; transactions carry the settings they were taken under, branches ask them.

--- a/src/main/java/maplespread/Lifecycle.java
+++ b/src/main/java/maplespread/Lifecycle.java
@@ -8,11 +8,11 @@
  */
 public final class Lifecycle {
     /**
-     * STARTING: the configuration is read, nothing is open. SERVING: all is on. RELOADING: as before it, while a
-     * new configuration is read, checked and applied. QUIESCED: drained by call; not ready, but accepting and
-     * serving as ever, while connections end with their answers. DRAINING: told to end; no longer ready, still
-     * accepting for a moment, and still serving the connections that are open. FINISHING: these end, what was
-     * taken is finished. STOPPED: all taken work has been answered, or its time is over.
+     * STARTING: the configuration is read, nothing is open. SERVING: all is on. RELOADING: as before it,
+     * while a new configuration is read, checked and applied. QUIESCED: drained by call; not ready, but
+     * accepting and serving as ever, while connections end with their answers. DRAINING: told to end; no
+     * longer ready, still accepting for a moment, and still serving the connections that are open. FINISHING:
+     * these end, what was taken is finished. STOPPED: all taken work has been answered, or its time is over.
      */
     public enum Phase { STARTING, SERVING, RELOADING, QUIESCED, DRAINING, FINISHING, STOPPED }
 
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -66,7 +66,7 @@
         }
     }
 
-    private final Config config;
+    private volatile Config config;                              // what a reload cannot change stays in it
     private final Source source;
     private final Semaphore reloads = new Semaphore(0);
     private final Lifecycle lifecycle = new Lifecycle();
@@ -102,10 +102,10 @@
         this.source = source;
         probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed());
-        links = new Links(config, this::sizes);
-        branches = new Branches(config, links, dispatcher, figures);
+        links = new Links(this::config, this::sizes);
+        branches = new Branches(this::config, links, dispatcher, figures);
         figures.show(config.names().classes());
-        prober = new Prober(config, links, dispatcher);
+        prober = new Prober(this::config, links, dispatcher);
         registry = operator.registry();
         routes = new Handover(maker(config, registry), new RouteSink() {
             @Override public void news(RouteNews news) {
@@ -131,8 +131,8 @@
     }
 
     /**
-     * Opens the listener and serves from the list last known. Where another process of this dispatcher is to be
-     * relieved, not before it has the list anew, or has waited a while: until then the other one serves.
+     * Opens the listener and serves from the list last known. Where another process of this dispatcher is to
+     * be relieved, not before it has the list anew, or has waited a while: until then the other one serves.
      */
     public void start() throws IOException {
         dispatcher.report(config.known());
@@ -158,8 +158,9 @@
         }
         InetSocketAddress at = config.listen();
         socket.bind(at, BACKLOG);
-        Service service = new Service(config, dispatcher, branches,
-            threads("transaction", config.sizes().transactions() + 8), this::sizes, figures, lifecycle::serving, routes::unready,
+        Service service = new Service(this::config, dispatcher, branches,
+            threads("transaction", config.sizes().transactions() + 8), this::sizes, figures,
+            lifecycle::serving, routes::unready,
             lifecycle::parting, () -> lastUs);
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
@@ -169,6 +170,10 @@
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
 
+    private Config config() {
+        return config;
+    }
+
     /** How much may be held now: part of it while another process of this dispatcher lives. */
     private Config.Sizes sizes() {
         return shared ? config.sizes().shared() : config.sizes();
@@ -214,21 +219,24 @@
     /** All of the file is read and checked before any of it counts; a bad one changes nothing. */
     private void takeUp() {
         try {
-            Config next = source.read();
+            Config read = source.read();
+            Config next = read.after(config);
             RegistrySettings then = source.operator().registry();
-            List<String> later = config.needingRestart(next);
+            List<String> later = config.needingRestart(read);
             if (!later.isEmpty()) {
                 Logger.warn("configuration: changed, but taken up only by a restart: {}", later);
             }
+            figures.show(next.names().live());
+            dispatcher.report(next.settings());      // first: it must know a class before its jobs
+            config = next;
+            figures.reconfigured(true);
             if (!Objects.equals(registry, then)) {
                 registry = then;
                 routes.change(maker(next, then));
-                figures.reconfigured(true);
                 Logger.info("configuration: read anew; routes come from {}", then == null ? "discovery at "
                     + next.discovery() : then.dialect() + " at " + then.endpoints());
                 return;
             }
-            figures.reconfigured(true);
             Logger.info("configuration: read anew; discovery at {}{}", next.discovery(),
                 routes.move(next.discovery()) ? ", watched from now on" : " as before");
         } catch (ConfigError e) {
@@ -288,7 +296,7 @@
             lastUs = dispatcher.nowUs() + (config.times().endMs() - LAST_MS) * 1000;
             boolean relieved = presence != null && presence.relieved();
             say(Note.State.ENDING);
-            if (relieved) {                                      // who serves beside it accepts all from now on
+            if (relieved) {                                      // who serves beside it accepts all
                 Logger.info("another process of this dispatcher has taken over");
                 listener.close();
                 lifecycle.enter(Lifecycle.Phase.FINISHING);
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -153,7 +153,7 @@
             }
             if (parser.bodyLength() > Service.LARGE && !large) {
                 String lane = parser.head().get("X-Lane");
-                if (service.config().names().classes().contains(lane)) {
+                if (service.config().names().place(lane) >= 0) {
                     answer.taken(lane);
                 }
                 answer.busy(FULL_PAUSE_MS);                      // unread, so the connection ends with it
--- a/src/main/java/maplespread/caller/Ids.java
+++ b/src/main/java/maplespread/caller/Ids.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 
 /**
  * The ids of the requests in work and of those lately ended. Guards against a second request under an id that
@@ -12,11 +13,11 @@
     private static final int MOST = 20_000;                      // then the ended ones are forgotten early
     private final Map<String, Long> endedAt = new ConcurrentHashMap<>();        // IN_WORK, or nanoseconds
     private static final Long IN_WORK = Long.MAX_VALUE;
-    private final long keepNanos;
+    private final LongSupplier keepMs;
 
     /** {@code keepMs}: how long an ended one is remembered. */
-    Ids(long keepMs) {
-        keepNanos = keepMs * 1_000_000;
+    Ids(LongSupplier keepMs) {
+        this.keepMs = keepMs;
     }
 
     /** False where the id was used before. */
@@ -31,7 +32,7 @@
     /** Forgets what ended long ago. */
     void sweep() {
         long now = System.nanoTime();
-        long keep = endedAt.size() > MOST ? 0 : keepNanos;
+        long keep = endedAt.size() > MOST ? 0 : keepMs.getAsLong() * 1_000_000;
         endedAt.values().removeIf(at -> !at.equals(IN_WORK) && now - at > keep);
     }
 }
--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -22,7 +22,7 @@
     /** {@code lastByteUs}: when the request's last byte had come, on the dispatcher's clock. */
     JobRequest(Service service, HttpHead head, byte[] body, long lastByteUs) throws HttpError {
         Config config = service.config();
-        int cls = config.names().classes().indexOf(firstPart(head.target()));
+        int cls = config.names().place(firstPart(head.target()));
         if (cls < 0) {
             throw new HttpError(404, "no such path");
         }
@@ -33,10 +33,10 @@
             throw new HttpError(405, "jobs come by POST");
         }
         String lane = need(head, "X-Lane");
-        if (config.names().classes().indexOf(lane) < 0) {
+        if (config.names().place(lane) < 0) {
             throw new HttpError(404, "no such class");
         }
-        if (config.names().classes().indexOf(lane) != cls) {
+        if (config.names().place(lane) != cls) {
             throw new HttpError(400, "X-Lane and path differ");
         }
         String id = need(head, "X-Txn");
@@ -90,7 +90,7 @@
         message = new Message(head.method(), head.target(), id, lane, fields, body);
         long waitsUntilUs = lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US;
         transaction = new Transaction(cls, tenant, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
-            workMs, slots, memory, entity);
+            workMs, slots, memory, entity, config.settings());
     }
 
     private static String firstPart(String target) {
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -3,20 +3,51 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
 
 /**
- * All that a dispatcher is told, read and checked by {@link ConfigReader}. {@code console}: where the operators
- * call, or null; {@code tmp}: the directory that processes of one dispatcher share, or null.
+ * All that a dispatcher is told, read and checked by {@link ConfigReader}. {@code console}: where the
+ * operators call, or null; {@code keys}: those that the file has; {@code tmp}: the directory that processes
+ * of one dispatcher share, or null.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress console, Path tmp,
-                     InetSocketAddress discovery, long seed, Dispatch.Settings settings, Names names, Sizes sizes, Times times, RouteNews known) {
+                     InetSocketAddress discovery, long seed, Dispatch.Settings settings, Names names,
+                     Sizes sizes, Times times, RouteNews known,
+                     Set<String> keys) {
     /** The operators' connections at once; their descriptors are not the clients'. */
     public static final int CONSOLE_PLACES = 12;
 
+    /**
+     * This one, read while {@code running} holds, as it can be taken up without a restart: classes keep their
+     * places, and what needs a restart stays. A ConfigError where it lacks a key that the running one has.
+     */
+    public Config after(Config running) throws ConfigError {
+        for (String key : running.keys) {
+            if (!keys.contains(key)) {
+                throw new ConfigError(key, "is missing; the running configuration has it");
+            }
+        }
+        List<String> places = new ArrayList<>(running.names.classes);
+        names.classes.stream().filter(c -> !places.contains(c)).forEach(places::add);
+        List<Dispatch.ClassSpec> specs = new ArrayList<>();
+        Set<String> out = new LinkedHashSet<>();
+        for (String cls : places) {
+            int at = names.classes.indexOf(cls);
+            if (at < 0) {
+                out.add(cls);                                    // its place is kept by a live one's figures
+            }
+            specs.add(settings.classes().get(Math.max(0, at)));
+        }
+        return new Config(running.name, running.listen, running.console, running.tmp, discovery, running.seed,
+            settings.with(specs), new Names(List.copyOf(places), names.tenants, running.names.zones,
+                running.names.kinds, Set.copyOf(out)), running.sizes, times, running.known, keys);
+    }
+
     /** The keys in which another configuration differs that a running program cannot take up. */
     public List<String> needingRestart(Config other) {
         List<String> keys = new ArrayList<>();
@@ -24,8 +55,8 @@
         differ(keys, "listen", listen, other.listen);
         differ(keys, "console", console, other.console);
         differ(keys, "limits", sizes, other.sizes);
-        differ(keys, "settings", List.of(settings, names, times), List.of(other.settings, other.names,
-            other.times));
+        differ(keys, "settings.areas", names.zones, other.names.zones);
+        differ(keys, "settings.models", names.kinds, other.names.kinds);
         return keys;
     }
 
@@ -35,9 +66,22 @@
         }
     }
 
-    /** What the sockets call classes, tenants, zones and machine kinds, in the settings' order. */
+    /**
+     * What the sockets call classes, tenants, zones and machine kinds, in the settings' order. {@code
+     * dropped}: classes that a reload has taken out, and whose places stay theirs.
+     */
     public record Names(List<String> classes, List<String> tenants, List<String> zones,
-                        List<String> kinds) { }
+                        List<String> kinds, Set<String> dropped) {
+        /** The class's number; -1 where there is none of that name at present. */
+        public int place(String cls) {
+            return dropped.contains(cls) ? -1 : classes.indexOf(cls);
+        }
+
+        /** The classes there are at present. */
+        public List<String> live() {
+            return classes.stream().filter(c -> !dropped.contains(c)).toList();
+        }
+    }
 
     /**
      * How much is held at once. {@code transactions} in work, {@code legs}: client connections, {@code kept}:
@@ -46,8 +90,8 @@
      */
     public record Sizes(int transactions, int legs, int kept, int links, int idleLinks, int probes) {
         /**
-         * For each of two processes that are one dispatcher: two fifths, as each has descriptors and memory of
-         * its own beside these.
+         * For each of two processes that are one dispatcher: two fifths, as each has descriptors and memory
+         * of its own beside these.
          */
         public Sizes shared() {
             return new Sizes(part(transactions), part(legs), part(kept), part(links), part(idleLinks),
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
 import maplespread.routes.RouteReader;
@@ -22,6 +23,7 @@
 public final class ConfigReader {
     private static final Set<String> EFFECTS = Set.of("read_like", "idempotency_key", "non_idempotent");
     private static final List<String> ABOVE_ZERO = List.of("aimMs", "deadlineMs");
+    private static final Set<String> MAY_LACK = Set.of("seed", "known", "settings.classes[].aimStretch");
     private static final int LEAST_SOCKETS = 160;
     /** The JVM's own and the heap that {@code run} allows; then what a thread was seen to cost. */
     private static final double MEMORY_KEPT_MB = 84;
@@ -73,7 +75,7 @@
         flatten("", set);
         check(set);
         Config.Names names = new Config.Names(named(set, "classes"), named(set, "customers"),
-            strings(set, "areas"), strings(set, "models"));
+            strings(set, "areas"), strings(set, "models"), Set.of());
         Dispatch.Settings settings = settings();
         JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
         int sockets = (int) number(limits, "limits.", "sockets", 1024);
@@ -84,10 +86,39 @@
         InetSocketAddress console = optional(root, env, "console", "BALANCER_CONSOLE");
         sockets -= console == null ? 0 : Config.CONSOLE_PLACES + 2;      // never the clients'
         return new Config(string(root, env, "name", "BALANCER_NAME"),
-            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"), console, path(env.get("TMPDIR")),
+            address(string(root, env, "listen", "BALANCER_LISTEN"), "listen"), console,
+            path(env.get("TMPDIR")),
             address(string(root, env, "discovery", "BALANCER_DISCOVERY"), "discovery"),
             seed(root), settings, names, sizes(sockets, Math.max(memoryMb, LEAST_MEMORY_MB)), times(settings),
-            known(root, names));
+            known(root, names), Set.copyOf(keys("", root)));
+    }
+
+    /**
+     * The keys that a later file must have too. Of a list of objects those that all of them have; not what is
+     * meant for a start alone, nor what the platform says may lack.
+     */
+    private static Set<String> keys(String path, JsonElement e) {
+        Set<String> all = new TreeSet<>();
+        if (e.isJsonObject()) {
+            for (var member : e.getAsJsonObject().entrySet()) {
+                String key = path.isEmpty() ? member.getKey() : path + '.' + member.getKey();
+                if (!MAY_LACK.contains(key)) {
+                    all.add(key);
+                    all.addAll(keys(key, member.getValue()));
+                }
+            }
+        } else if (e.isJsonArray()) {
+            Set<String> common = null;
+            for (JsonElement item : e.getAsJsonArray()) {
+                Set<String> here = keys(path + "[]", item);
+                if (common == null) {
+                    common = here;
+                }
+                common.retainAll(here);
+            }
+            all.addAll(common == null ? Set.of() : common);
+        }
+        return all;
     }
 
     /**
@@ -280,7 +311,8 @@
     /** Null where neither names one. */
     private static InetSocketAddress optional(JsonObject root, Map<String, String> env, String key,
             String variable) throws ConfigError {
-        boolean told = !env.getOrDefault(variable, "").isEmpty() || root.has(key) && !root.get(key).isJsonNull();
+        boolean told = !env.getOrDefault(variable, "").isEmpty()
+            || root.has(key) && !root.get(key).isJsonNull();
         return told ? address(string(root, env, key, variable), key) : null;
     }
 
--- a/src/main/java/maplespread/console/Calls.java
+++ b/src/main/java/maplespread/console/Calls.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 
 /**
- * The calls by path and method. {@code health}: whether this process takes clients; {@code quiesce} and {@code
- * resume}: do it, and say whether that was possible. None may wait.
+ * The calls by path and method. {@code health}: whether this process takes clients; {@code quiesce} and
+ * {@code resume}: do it, and say whether that was possible. None may wait.
  */
 public record Calls(BooleanSupplier health, Supplier<String> stats, BooleanSupplier quiesce,
                     BooleanSupplier resume) {
--- a/src/main/java/maplespread/console/Console.java
+++ b/src/main/java/maplespread/console/Console.java
@@ -16,8 +16,9 @@
 import org.tinylog.Logger;
 
 /**
- * The operators' listener: one call a connection. Each has a thread, so that nobody waits for another's half a
- * call; there are a few places, and for one more the connection that came first ends, which has had the most time.
+ * The operators' listener: one call a connection. Each has a thread, so that nobody waits for another's half
+ * a call; there are a few places, and for one more the connection that came first ends, which has had the
+ * most time.
  */
 public final class Console implements Closeable, Runnable {
     private static final long STACK = 144 * 1024;
@@ -39,8 +40,7 @@
             socket.bind(at);
         } catch (IOException e) {
             socket.close();
-            throw new IOException("console " + at.getHostString() + ':' + at.getPort() + ": " + e.getMessage(),
-                e);
+            throw new IOException("console " + at + ": " + e.getMessage(), e);
         }
     }
 
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -108,6 +108,12 @@
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
+
+        /** The same with other classes. */
+        public Settings with(List<ClassSpec> others) {
+            return new Settings(balancers, index, zone, ask, byWork, tellsStart, progressMs, inOrder, tickMs,
+                overShare, crossZone, others, tenants, permissions, rules);
+        }
     }
 
     /**
@@ -119,14 +125,21 @@
 
     /**
      * A request taken by this node. {@code deadlineUs}: when its client stops waiting; {@code key}: what it
-     * concerns, or null.
+     * concerns, or null; {@code under}: the settings it was taken under, whose rules hold for it to its end;
+     * null: the present ones.
      */
     public record Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
-                          double memory, String key) {
+                          double memory, String key, Settings under) {
+        /** Under the present settings. */
+        public Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
+                       double memory, String key) {
+            this(id, cls, tenant, deadlineUs, workMs, slots, memory, key, null);
+        }
+
         /** A request without a key. */
         public Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
                        double memory) {
-            this(id, cls, tenant, deadlineUs, workMs, slots, memory, null);
+            this(id, cls, tenant, deadlineUs, workMs, slots, memory, null, null);
         }
     }
 
@@ -139,6 +152,12 @@
 
     /** What a host tells a node. Nothing else moves it. */
     public interface Events {
+        /**
+         * Other settings hold from now on, for requests taken from now on; what was learnt stays. Classes
+         * keep their places: new ones stand behind those there were.
+         */
+        void settings(long nowUs, Settings next);
+
         /** News of the worker list. {@code version} only grows. */
         void list(long nowUs, ListKind kind, long version, List<Entry> entries);
 
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import maplespread.decision.Dispatch.*;
+import maplespread.decision.Numbers.Row;
 
 /**
  * All decisions of a node; its interface (settings, events, actions) is in Dispatch.java. The design is rule
@@ -26,9 +27,9 @@
  */
 public final class Logic implements Dispatch.Events {
     private static final long TICK = 1;
-    private final Settings set;
-    private final Rules rules;
-    private final Permissions allow;
+    private Settings set;
+    private Rules rules;
+    private Permissions allow;
     private final Actions actions;
     private final SplittableRandom random;
     private final Roster<Worker> workers = new Roster<>();
@@ -36,28 +37,36 @@
     private final Map<Integer, Kind> kinds = new HashMap<>();
     private final Map<Long, Req> open = new HashMap<>();         // until ended and all attempts are over
     private final List<Req> parked = new ArrayList<>();          // nothing out, waiting for a legal worker
-    private final double aim;                                    // shortest class aim: the clock of upkeep
-    private final double horizon;                                // shortest deadline: the estimators' memory
-    private final double period;  // half an aim: a few scans a request, no more
+    private double aim;                                    // shortest class aim: the clock of upkeep
+    private double horizon;                                // shortest deadline: the estimators' memory
+    private double period;  // half an aim: a few scans a request, no more
     private double now = Double.NEGATIVE_INFINITY;
 
     public Logic(Settings settings, long seed, Actions actions) {
         Dispatch.need(settings != null && actions != null, "settings and actions are needed");
+        this.actions = actions;
+        random = new SplittableRandom(seed);
+        take(settings);
+    }
+
+    private void take(Settings settings) {
         set = settings;
         rules = set.rules();
         allow = set.permissions();
-        this.actions = actions;
-        random = new SplittableRandom(seed);
         aim = set.classes().stream().mapToDouble(ClassSpec::aimMs).min().orElseThrow();
         horizon = set.classes().stream().mapToDouble(ClassSpec::deadlineMs).min().orElseThrow();
         period = Math.max(set.tickMs(), aim / 2);
-        mean = new double[set.classes().size()];
-        seen = new double[mean.length];
-        failed = new double[mean.length];
     }
 
     // ------------------------------------------------------------ events
 
+    @Override public void settings(long nowUs, Settings next) {
+        at(nowUs);
+        Dispatch.need(next.classes().size() >= set.classes().size(), "classes keep their places");
+        take(next);
+        scanAt = Double.NEGATIVE_INFINITY;                       // sums are made anew
+    }
+
     @Override public void list(long nowUs, ListKind kind, long version, List<Entry> entries) {
         at(nowUs);
         boolean whole = kind != ListKind.CHANGES;
@@ -93,7 +102,7 @@
 
     @Override public void request(long nowUs, Request r) {
         at(nowUs);
-        Dispatch.need(r.cls() >= 0 && r.cls() < mean.length, "no such class: " + r.cls());
+        Dispatch.need(r.cls() >= 0 && r.cls() < set.classes().size(), "no such class: " + r.cls());
         if (open.containsKey(r.id())) {
             throw new IllegalStateException("request " + r.id() + " was taken before");
         }
@@ -242,7 +251,7 @@
 
     private final class Worker extends Roster.Placed {
         final String id;
-        final double[] bad = new double[mean.length], badAt = new double[mean.length];  // by class
+        final Row bad = new Row(), badAt = new Row();            // by class
         final List<Attempt> held = new ArrayList<>();            // sent from here, outcome not yet seen
         Kind kind;
         Health health;
@@ -471,14 +480,14 @@
          * and serve the rest. It chooses among workers and refuses nothing.
          */
         double failing(int cls) {
-            double more = (bad[cls] - failed[cls]) * fade((now - badAt[cls]) / (4 * horizon));
-            return failed[cls] + (Math.abs(more) > 0.1 ? more : 0);     // less is no more than chance
+            double more = (bad.at(cls) - failed.at(cls)) * fade((now - badAt.at(cls)) / (4 * horizon));
+            return failed.at(cls) + (Math.abs(more) > 0.1 ? more : 0);     // less is no more than chance
         }
 
         void tried(int cls, double fail) {
-            bad[cls] = 0.5 * failing(cls) + 0.5 * fail;
-            badAt[cls] = now;
-            failed[cls] += 0.05 * (fail - failed[cls]);          // about twenty tries; here two
+            bad.put(cls, 0.5 * failing(cls) + 0.5 * fail);
+            badAt.put(cls, now);
+            failed.put(cls, failed.at(cls) + 0.05 * (fail - failed.at(cls)));    // about 20 tries; here 2
         }
 
         void alive() {
@@ -560,7 +569,7 @@
 
     // ------------------------------------------------------------ value function
 
-    private final double[] mean, seen, failed;                   // by class: mean hint, of how many; failures
+    private final Row mean = new Row(), seen = new Row(), failed = new Row();    // of classes
     private double rate, rateAt = Double.NaN;                    // offered jobs a millisecond, before refusal
     private double meanX = Double.NaN, meanWorth = Double.NaN, offers, lostShare;
     private double mineAvg, unseenAvg, crowd = 1, scanAt;        // crowd: all nodes' load over its own
@@ -598,9 +607,10 @@
             q.logHint = Math.log(q.x);
             logMid += (q.logHint - logMid) / Math.min(++hints, 200);
             q.x = Math.exp(logMid + trust * (q.logHint - logMid));
-            mean[q.cls] += (q.x - mean[q.cls]) / Math.min(++seen[q.cls], 200);
+            seen.put(q.cls, Math.min(seen.at(q.cls) + 1, 200));
+            mean.put(q.cls, mean.at(q.cls) + (q.x - mean.at(q.cls)) / seen.at(q.cls));
         } else {
-            q.x = mean[q.cls] > 0 ? mean[q.cls] : meanAll();
+            q.x = mean.at(q.cls) > 0 ? mean.at(q.cls) : meanAll();
         }
         double worth = q.spec.worth() * (set.byWork() ? q.x : 1);
         double step = Math.max(0.01, 1 / ++offers);              // a plain mean first, forgetting later
@@ -620,7 +630,7 @@
         if (i < workers.size()) {
             Worker w = workers.get(i);
             double u = Math.max(0, w.shadow - (now - w.shadowAt) / crowd);
-            int lost = u > tau(q.cls) ? 1 : 0;
+            int lost = u > tau(q) ? 1 : 0;
             w.shadow = u + (1 - lost) * q.x * q.slots / w.cap;
             w.shadowAt = now;
             w.shadowSeen = w.shadowSeen * 0.98 + 1;
@@ -630,10 +640,9 @@
     }
 
     /** The waiting-time aim of a class: its aim plus (stretch - 1) typical run times, within the deadline. */
-    private double tau(int cls) {
-        ClassSpec s = set.classes().get(cls);
-        double m = mean[cls] > 0 ? mean[cls] : meanAll();
-        return clamp(s.aimMs() + (s.stretch() - 1) * m, s.aimMs() / 4, s.deadlineMs());
+    private double tau(Req q) {
+        double m = mean.at(q.cls) > 0 ? mean.at(q.cls) : meanAll();
+        return clamp(q.spec.aimMs() + (q.spec.stretch() - 1) * m, q.spec.aimMs() / 4, q.spec.deadlineMs());
     }
 
     /** v(u + g) - v(u) of a worker; its lost share leans on the fleet's, worth ten jobs, against noise. */
@@ -690,8 +699,8 @@
 
     private final class Req {
         final long id;
-        final int cls;
-        final ClassSpec spec;
+        final int cls, tries;                                    // tries: attempts at most
+        final ClassSpec spec;                                    // both as when it was taken
         final double arrived, deadline, slots, memory;
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<Worker> asked = new ArrayList<>(LOOKS);       // probed for it
@@ -709,7 +718,9 @@
         Req(Request r) {
             id = r.id();
             cls = r.cls();
-            spec = set.classes().get(cls);
+            Settings under = r.under() == null ? set : r.under();
+            spec = under.classes().get(cls);
+            tries = under.permissions().tryLimit();
             arrived = now;
             deadline = r.deadlineUs() / 1000.0;
             x = r.workMs() > 1e-4 * aim && r.workMs() < 1e3 * spec.deadlineMs() ? r.workMs() : Double.NaN;
@@ -720,7 +731,7 @@
 
         /** Rules 1 and 2: may it be sent to w, as far as it and its earlier attempts go? */
         boolean legal(Worker w) {
-            if (ended || streaming || now >= deadline || out > 0 || attempts.size() >= allow.tryLimit()) {
+            if (ended || streaming || now >= deadline || out > 0 || attempts.size() >= tries) {
                 return false;
             }
             for (Attempt a : attempts) {
@@ -888,7 +899,7 @@
         // Departure "late worth": an answer past the aim but before the deadline keeps that share.
         d *= now + w.u + q.x / w.speed < q.deadline ? 1 - q.spec.lateShare() : 1;
         // Departure "worth": the increase counts mean jobs; set against refusing this one, at one.
-        double tau = tau(q.cls), g = (q.x + fetch(q, w) * w.speed) * q.slots / w.cap;
+        double tau = tau(q), g = (q.x + fetch(q, w) * w.speed) * q.slots / w.cap;
         double cost = d + increase(w, w.u, g, tau) / q.weight;
         // Departure "crossing": its price chooses among workers but refuses nothing by itself.
         double toll = w.zone == set.zone() ? 0 : set.crossZone() / q.weight;
@@ -911,10 +922,10 @@
      * Departure "key": a miss is priced as this many mean jobs. Its own wait is under one, but it also takes
      * of the store that all share and drives out a set that others will miss: CRAMMED more where jobs wait
      * two mean jobs, as then the slots it holds are missed. HOME, OTHER and SECOND: how
-     * likely a miss is at the key's home, where it went from here lately, and at its second choice.
+     * likely a miss is at the key's home, where it went from here lately, and at its second choice. KEPT:
+     * data sets that a worker keeps a slot.
      */
-    private static final double FETCH = 3, CRAMMED = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5;
-    private static final double KEPT = 1.4;                      // data sets that a worker keeps a slot
+    private static final double FETCH = 3, CRAMMED = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5, KEPT = 1.4;
 
     /** Highest random weight: all nodes find the same home for a key without a word between them. */
     private void homes(Req q) {
--- a/src/main/java/maplespread/decision/Numbers.java
+++ b/src/main/java/maplespread/decision/Numbers.java
@@ -1,5 +1,6 @@
 package maplespread.decision;
 
+import java.util.Arrays;
 import java.util.SplittableRandom;
 
 /** Small arithmetic for {@link Logic}. */
@@ -44,4 +45,20 @@
         h = (h ^ h >>> 32) * 0xd6e8feb86659fd93L;
         return h ^ h >>> 32;
     }
+
+    /** Figures by number, 0 where none was put; as many as are needed. */
+    static final class Row {
+        private double[] all = {};
+
+        double at(int i) {
+            return i < all.length ? all[i] : 0;
+        }
+
+        void put(int i, double x) {
+            if (i >= all.length) {
+                all = Arrays.copyOf(all, i + 1);
+            }
+            all[i] = x;
+        }
+    }
 }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -67,7 +67,8 @@
                 t.changed = lock.newCondition();
                 open.put(t.id, t);
                 if (!guarded("request", () -> logic.request(nowUs(), new Dispatch.Request(t.id, t.cls,
-                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory, t.key))) && t.word == null) {
+                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory, t.key, t.under)))
+                    && t.word == null) {
                     end(t, new Word.Failed());
                 }
             }
@@ -144,6 +145,11 @@
         });
     }
 
+    /** Other settings for transactions to come; their classes stand where they stood. */
+    public void report(Dispatch.Settings next) {
+        locked(() -> guarded("settings", () -> logic.settings(nowUs(), next)));
+    }
+
     /** A watch could not be had or broke. */
     public void reportWatchLost() {
         locked(() -> guarded("listFailed", () -> logic.listFailed(nowUs())));
@@ -208,7 +214,9 @@
 
     /** Whether it would be harmless to run the branch's job twice. */
     public boolean repeatable(Branch b) {
-        return settings.classes().get(b.transaction().cls).effect() == Dispatch.Effect.READ_LIKE;
+        Transaction t = b.transaction();
+        Dispatch.Settings under = t.under == null ? settings : t.under;
+        return under.classes().get(t.cls).effect() == Dispatch.Effect.READ_LIKE;
     }
 
     /** Whether any worker is known that takes work. */
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.Condition;
+import maplespread.decision.Dispatch;
 
 /**
  * One request of a client, as far as decisions go; it knows no protocol. The network code makes it and asks
@@ -16,6 +17,7 @@
     final double slots;
     final double memory;
     final String key;
+    final Dispatch.Settings under;                               // whose rules hold; null: the present ones
     final List<Branch> branches = new ArrayList<>(2);
     long id;
     boolean taken;
@@ -30,6 +32,13 @@
      */
     public Transaction(int cls, int tenant, long deadlineUs, double workMs, double slots, double memory,
             String key) {
+        this(cls, tenant, deadlineUs, workMs, slots, memory, key, null);
+    }
+
+    /** {@code under}: the settings that it is taken under, whatever holds later. */
+    public Transaction(int cls, int tenant, long deadlineUs, double workMs, double slots, double memory,
+            String key, Dispatch.Settings under) {
+        this.under = under;
         this.cls = cls;
         this.tenant = tenant;
         this.deadlineUs = deadlineUs;
--- a/src/main/java/maplespread/figures/Figures.java
+++ b/src/main/java/maplespread/figures/Figures.java
@@ -7,8 +7,8 @@
 import org.tinylog.Logger;
 
 /**
- * Counts from the process's start; they never go back, also not over a reload that drops a class. All may be added
- * to and read by any thread without a lock.
+ * Counts from the process's start; they never go back, also not over a reload that drops a class. All may be
+ * added to and read by any thread without a lock.
  */
 public final class Figures {
     /** How a job ended for its client. */
--- a/src/main/java/maplespread/upgrade/Presence.java
+++ b/src/main/java/maplespread/upgrade/Presence.java
@@ -15,9 +15,9 @@
 import org.tinylog.Logger;
 
 /**
- * This process among those of one dispatcher: a note in a directory that they share, and a lock beside it that is
- * held for as long as the process lives. The kernel lets go of a dead process's lock, so what it left behind is
- * told from a live one for sure; a process number would come again.
+ * This process among those of one dispatcher: a note in a directory that they share, and a lock beside it
+ * that is held for as long as the process lives. The kernel lets go of a dead process's lock, so what it left
+ * behind is told from a live one for sure; a process number would come again.
  */
 public final class Presence implements Closeable {
     private static final String PREFIX = "maplespread-";
@@ -36,7 +36,10 @@
         this.channel = channel;
     }
 
-    /** Makes this process known as starting. Empty where the directory will not do: then it is taken to be alone. */
+    /**
+     * Makes this process known as starting. Empty where the directory will not do: then it is taken to be
+     * alone.
+     */
     public static Optional<Presence> join(Path dir, String listen) {
         FileChannel channel = null;
         try {
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -4,6 +4,7 @@
 import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
@@ -88,15 +89,15 @@
         }
     }
 
-    private final long firstByteMs;
+    private final Supplier<Config> config;
     private final Links links;
     private final Dispatcher dispatcher;
     private final Figures figures;
     private final Seldom seldom = new Seldom();
     private final Map<Branch, Running> running = new ConcurrentHashMap<>();
 
-    public Branches(Config config, Links links, Dispatcher dispatcher, Figures figures) {
-        firstByteMs = config.times().firstByteMs();
+    public Branches(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
+        this.config = config;
         this.links = links;
         this.dispatcher = dispatcher;
         this.figures = figures;
@@ -169,7 +170,8 @@
         HttpParser parser = HttpParser.response(MOST_BYTES, new Lines(LONGEST_LINE, lines::line));
         // A worker's head comes when it has taken the job, long before the job's end: without it, the
         // connection or the worker is silent. Only what may be repeated can be given up for that.
-        long firstByteBy = dispatcher.repeatable(branch) ? now() + firstByteMs : Long.MAX_VALUE;
+        long firstByteBy = dispatcher.repeatable(branch) ? now() + config.get().times().firstByteMs()
+            : Long.MAX_VALUE;
         boolean heard = false;
         try {
             while (lines.outcome == null) {
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -35,7 +35,7 @@
     }
 
     private static final long LEAST_IDLE_NANOS = 100_000_000L;
-    private final Config config;
+    private final Supplier<Config> config;
     private final Supplier<Config.Sizes> sizes;
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private int idleCount;
@@ -44,10 +44,10 @@
     private double broken;                                       // share of kept ones that broke, of late
 
     /** {@code sizes}: how much may be held at present. */
-    public Links(Config config, Supplier<Config.Sizes> sizes) {
+    public Links(Supplier<Config> config, Supplier<Config.Sizes> sizes) {
         this.config = config;
         this.sizes = sizes;
-        idleNanos = config.times().linkIdleMs() * 1_000_000;
+        idleNanos = config.get().times().linkIdleMs() * 1_000_000;
     }
 
     /**
@@ -69,7 +69,8 @@
             oldest.connection.close();
         }
         try {
-            return new Link(HttpConnection.dial(to, Math.min(limitMs, config.times().dialMs())), address);
+            long dialMs = Math.min(limitMs, config.get().times().dialMs());
+            return new Link(HttpConnection.dial(to, dialMs), address);
         } catch (IOException | RuntimeException | Error e) {
             notMade();
             throw e;
@@ -144,7 +145,7 @@
         if (link.kept) {
             broken = 0.97 * broken + (broke ? 0.03 : 0);
             idleNanos = broke ? Math.max(LEAST_IDLE_NANOS, Math.min(idleNanos, link.idled / 2))
-                : Math.min(config.times().linkIdleMs() * 1_000_000, idleNanos + idleNanos / 50);
+                : Math.min(config.get().times().linkIdleMs() * 1_000_000, idleNanos + idleNanos / 50);
         }
     }
 
@@ -170,7 +171,7 @@
      */
     public void sweep(Collection<String> listed) {
         ArrayDeque<Link> old = new ArrayDeque<>();
-        long limit = config.times().linkIdleMs() * 1_000_000;
+        long limit = config.get().times().linkIdleMs() * 1_000_000;
         synchronized (this) {
             for (Iterator<Map.Entry<String, ArrayDeque<Link>>> i = idle.entrySet().iterator(); i.hasNext();) {
                 Map.Entry<String, ArrayDeque<Link>> e = i.next();
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
@@ -15,11 +16,11 @@
 /** Asks a worker for its load and reports what came of it. */
 public final class Prober {
     private static final int MOST_BYTES = 16 * 1024;
-    private final Config config;
+    private final Supplier<Config> config;
     private final Links links;
     private final Dispatcher dispatcher;
 
-    public Prober(Config config, Links links, Dispatcher dispatcher) {
+    public Prober(Supplier<Config> config, Links links, Dispatcher dispatcher) {
         this.config = config;
         this.links = links;
         this.dispatcher = dispatcher;
@@ -31,12 +32,12 @@
         Outcome outcome;
         Links.Link link = null;
         try {
-            link = links.get(probe.address(), config.times().dialMs(), true);
+            link = links.get(probe.address(), config.get().times().dialMs(), true);
             outcome = Outcome.RESET;
             link.connection.send(HttpWriter.request("GET", "/status/load", probe.address()).bytes());
             ByteArrayOutputStream body = new ByteArrayOutputStream();
             HttpParser parser = HttpParser.response(MOST_BYTES, body::write);
-            link.connection.receive(parser, config.times().probeMs());
+            link.connection.receive(parser, config.get().times().probeMs());
             outcome = parser.head().status() == 200 ? Outcome.SERVED : Outcome.ERROR;
             load = JobLines.load(body.toString(StandardCharsets.UTF_8));
             load = load == null ? JobLines.load(parser.head().get("X-Pressure")) : load;
