A data set costs more only from a mean wait of one mean job on

Fault: fetch() in Logic. Reason: below one mean job a slot is free on average, so none that a fetch holds is missed. Change: the rise runs from a wait of one to two mean jobs.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -920,10 +920,10 @@
 
     /**
      * Departure "key": a miss is priced as this many mean jobs. Its own wait is under one, but it also takes
-     * of the store that all share and drives out a set that others will miss: CRAMMED more where jobs wait
-     * two mean jobs, as then the slots it holds are missed. HOME, OTHER and SECOND: how
-     * likely a miss is at the key's home, where it went from here lately, and at its second choice. KEPT:
-     * data sets that a worker keeps a slot.
+     * of the store that all share and drives out a set that others will miss. From a mean wait of one mean
+     * job on no slot is free and those it holds are missed, at two it costs CRAMMED more. HOME, OTHER and
+     * SECOND: how likely a miss is at the key's home, where it went from here lately, and at its second
+     * choice. KEPT: data sets that a worker keeps a slot.
      */
     private static final double FETCH = 3, CRAMMED = 3, HOME = 0.1, OTHER = 0.2, SECOND = 0.5, KEPT = 1.4;
 
@@ -946,7 +946,7 @@
     /** The price of the data set that a job may have to wait for at w, holding its slots, as time. */
     private double fetch(Req q, Worker w) {
         double miss = w == q.home ? HOME : w.kept.containsKey(q.key) ? OTHER : w == q.second ? SECOND : 1;
-        return q.key == 0 ? 0 : (FETCH + CRAMMED * Math.min(1, crammed / 2)) * miss * meanAll();
+        return q.key == 0 ? 0 : (FETCH + CRAMMED * clamp(crammed - 1, 0, 1)) * miss * meanAll();
     }
 
     private void send(Req q, Worker w) {
