--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -190,10 +190,14 @@
     }
 
     Loopback(UnaryOperator<Config> change, Peer... workers) throws Exception {
-        discovery = new Peer(call -> {
+        this(call -> {
             call.open();
             call.line("");
-        });
+        }, change, workers);
+    }
+
+    Loopback(Script asked, UnaryOperator<Config> change, Peer... workers) throws Exception {
+        discovery = new Peer(asked);
         file = config(discovery.address(), workers);
         server = new Server(change.apply(ConfigReader.read(file, Map.of())),
             () -> {
--- a/src/test/java/maplespread/net/OperationStoriesTest.java
+++ b/src/test/java/maplespread/net/OperationStoriesTest.java
@@ -213,6 +213,95 @@
         }
     }
 
+    /** Guards what requests in pieces, half requests and leaving clients hold, and what they count as. */
+    @Test
+    void piecesAreServedAndWhoLeavesHoldsNothing() throws Exception {
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(Loopback::console, worker)) {
+            try (Client slow = here.new Client()) {
+                for (byte b : job("order", "a", 4000).getBytes()) {
+                    slow.link.send(new byte[] {b});
+                }
+                assertEquals(200, slow.answer().head.status());
+            }
+            String whole = job("page", "b", 4000);
+            for (int cut : new int[] {0, 1, 40, whole.length() - 3}) {
+                try (Client half = here.new Client()) {
+                    half.send(whole.substring(0, cut));
+                }
+            }
+            CountDownLatch go = new CountDownLatch(1);
+            worker.script = call -> {
+                call.open();
+                await(go);
+                call.done("too late");
+            };
+            worker.calls.clear();
+            Client leaver = here.new Client();
+            leaver.send(job("order", "c", 4000));
+            worker.next();
+            until("it is in work", () -> here.figure("app_inflight") == 1);
+            leaver.close();
+            until("nobody waits for it", () -> here.figure("app_inflight") == 0);
+            go.countDown();
+            assertEquals(2, here.figure("app_backend_calls"), "half a request is no job");
+            worker.script = DONE;
+            try (Client next = here.new Client()) {
+                assertEquals(200, next.status(job("order", "d", 4000)));
+            }
+            assertEquals(2, here.figure("app_calls{tier=\"order\",code=\"success\"}"));
+            assertEquals(0, here.figure("app_calls{tier=\"order\",code=\"failure\"}"));
+        }
+    }
+
+    /** Guards a restart with an old list, whatever discovery does meanwhile: it serves, and then learns. */
+    @Test
+    void anOldListServesWhileDiscoveryIsSlowRefusesOrSaysNothing() throws Exception {
+        CountDownLatch later = new CountDownLatch(1);
+        Loopback.Script[] ways = {
+            call -> call.raw("HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"),
+            call -> call.link.close(),
+            call -> { },
+            call -> {
+                call.open();
+                call.raw("40\r\n{\"generation\":2,\"reset\":true,\"inst");    // a body cut off in its middle
+                call.link.close();
+            },
+            call -> {
+                await(later);
+                call.open();
+                call.line("");
+            }};
+        for (Loopback.Script way : ways) {
+            try (Peer worker = new Peer(DONE); Peer gone = new Peer(call -> call.link.close());
+                 Loopback here = new Loopback(way, Loopback::console, worker, gone);
+                 Client client = here.new Client()) {
+                assertEquals(200, ready(here));
+                assertEquals(200, client.status(job("page", "a", 4000)));
+                assertEquals(200, here.call("GET /admin/health").head.status());
+            }
+        }
+    }
+
+    /** Guards results that are cut off: they are no answer, and an order is not asked for again. */
+    @Test
+    void aResultThatIsCutOffIsNone() throws Exception {
+        Loopback.Script cut = call -> {
+            call.open();
+            call.raw("60\r\n{\"id\":\"" + call.id() + "\",\"state\":\"done\",\"result\":\"o");
+            call.link.close();
+        };
+        for (String lane : new String[] {"page", "order"}) {
+            try (Peer one = new Peer(cut); Peer two = new Peer(cut);
+                 Loopback here = new Loopback(Loopback::console, one, two);
+                 Client client = here.new Client()) {
+                assertEquals(lane.equals("order") ? 502 : 503, client.status(job(lane, "a", 1500)));
+                int tries = one.calls.size() + two.calls.size();
+                assertTrue(lane.equals("order") ? tries == 1 : tries > 1, lane + ": " + tries);
+                assertEquals(tries, here.figure("app_backend_calls"));
+            }
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             assertTrue(latch.await(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS));
