While two processes are one dispatcher, the module shares out cold work among twice as many

Need: both processes took the whole share of a cold worker's budget, so an upgrade doubled that dispatcher's part. Change: Settings.shared(), told to the module while another process lives; a reload meanwhile keeps it. Measured: two processes send a cold worker in a test what one would (fails with the share of one each).

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -89,6 +89,7 @@
     private Console console;                                     // null: none is named
     private Presence presence;                                   // null: no other process is looked for
     private volatile boolean shared;                             // another one of this dispatcher lives
+    private final Object turn = new Object();                    // of those who give the module settings
     private final CountDownLatch told = new CountDownLatch(1);   // of the route set, since the start
 
     /** {@code source}: asked at each reload. */
@@ -189,7 +190,19 @@
         if (config.tmp() != null) {
             presence = Presence.join(config.tmp(), config.listen().getAddress().getHostAddress() + ':'
                 + config.listen().getPort()).orElse(null);
-            shared = presence != null && presence.shared();
+            share(presence != null && presence.shared());
+        }
+    }
+
+    /** Takes part of the limits, and of what the nodes share out, while another process of this one lives. */
+    private void share(boolean now) {
+        synchronized (turn) {
+            if (now != shared) {
+                shared = now;
+                dispatcher.report(now ? config.settings().shared() : config.settings());
+                Logger.info(now ? "another process of this dispatcher lives: shares the limits"
+                    : "alone again: takes all of the limits");
+            }
         }
     }
 
@@ -227,8 +240,10 @@
                 Logger.warn("configuration: changed, but taken up only by a restart: {}", later);
             }
             figures.show(next.names().live());
-            dispatcher.report(next.settings());      // first: it must know a class before its jobs
-            config = next;
+            synchronized (turn) {
+                dispatcher.report(shared ? next.settings().shared() : next.settings());
+                config = next;                                   // last: the module must know a class first
+            }
             figures.reconfigured(true);
             if (!Objects.equals(registry, then)) {
                 registry = then;
@@ -351,7 +366,7 @@
                     if (listener != null) {
                         listener.sweep();
                     }
-                    shared = presence != null && presence.shared();
+                    share(presence != null && presence.shared());
                     count();
                 }
             } catch (InterruptedException e) {
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -109,6 +109,15 @@
             tenants = List.copyOf(tenants);
         }
 
+        /**
+         * The same for each of two processes that are one node: what nodes share out among them, such as the
+         * work for a cold worker, is halved, so that both together take what the one would.
+         */
+        public Settings shared() {
+            return new Settings(2 * balancers, index, zone, ask, byWork, tellsStart, progressMs, inOrder,
+                tickMs, overShare, crossZone, classes, tenants, permissions, rules);
+        }
+
         /** The same with other classes. */
         public Settings with(List<ClassSpec> others) {
             return new Settings(balancers, index, zone, ask, byWork, tellsStart, progressMs, inOrder, tickMs,
--- a/src/test/java/maplespread/decision/SettingsChangeTest.java
+++ b/src/test/java/maplespread/decision/SettingsChangeTest.java
@@ -61,6 +61,27 @@
         }
     }
 
+    private static int sentToACold(Settings set) {
+        Host h = new Host(Host.settings(Host.clazz(Effect.READ_LIKE, Group.ALL), true, 4));
+        h.change(set);
+        h.list(ListKind.HELD, Host.entry("warm", 0, 0), Host.entry("cold", 0, h.now));
+        int sent = 0;
+        for (int i = 1; i <= 400; i++) {
+            Host.Call c = h.take(i, 100);
+            sent += c.tries.stream().anyMatch(t -> t.worker.equals("cold")) ? 1 : 0;
+            h.pass(5);
+        }
+        return sent;
+    }
+
+    /** Guards cold workers in an upgrade: two processes of one node send them no more than the one would. */
+    @Test
+    void twoProcessesOfOneNodeSendAColdWorkerWhatOneWould() {
+        Settings one = Host.settings(Host.clazz(Effect.READ_LIKE, Group.ALL), true, 4);
+        int alone = sentToACold(one), each = sentToACold(one.shared());
+        assertTrue(alone > 6 && each > 0 && 2 * each <= alone + 2, "twice " + each + ", alone " + alone);
+    }
+
     /** Guards what was learnt: a worker that is avoided stays so over a change. */
     @Test
     void whatIsKnownOfWorkersSurvivesAndClassesOnlyCome() {
