--- a/src/test/java/maplespread/decision/SettingsChangeTest.java
+++ b/src/test/java/maplespread/decision/SettingsChangeTest.java
@@ -64,12 +64,15 @@
     private static int sentToACold(Settings set) {
         Host h = new Host(Host.settings(Host.clazz(Effect.READ_LIKE, Group.ALL), true, 4));
         h.change(set);
-        h.list(ListKind.HELD, Host.entry("warm", 0, 0), Host.entry("cold", 0, h.now));
+        h.list(ListKind.HELD, Host.entry("cold", 0, h.now));
         int sent = 0;
         for (int i = 1; i <= 400; i++) {
-            Host.Call c = h.take(i, 100);
-            sent += c.tries.stream().anyMatch(t -> t.worker.equals("cold")) ? 1 : 0;
+            Host.Call c = h.take(i, 10);
             h.pass(5);
+            if (!c.tries.isEmpty()) {
+                sent += c.tries.get(0).worker.equals("cold") ? 1 : 0;
+                h.settle(i, Verdict.OK);
+            }
         }
         return sent;
     }
@@ -77,9 +80,11 @@
     /** Guards cold workers in an upgrade: two processes of one node send them no more than the one would. */
     @Test
     void twoProcessesOfOneNodeSendAColdWorkerWhatOneWould() {
-        Settings one = Host.settings(Host.clazz(Effect.READ_LIKE, Group.ALL), true, 4);
+        Settings s = Host.settings(Host.clazz(Effect.READ_LIKE, Group.ALL), true, 4);
+        Settings one = new Settings(4, 0, 0, true, true, true, 1000, true, 2, 0.1, 0, s.classes(), List.of(),
+            s.permissions(), new Rules(1000, 10000, 0.3, 9000, 1, 1500, 8));      // falls soon
         int alone = sentToACold(one), each = sentToACold(one.shared());
-        assertTrue(alone > 6 && each > 0 && 2 * each <= alone + 2, "twice " + each + ", alone " + alone);
+        assertTrue(alone > 6 && each > 0 && 2 * each <= alone * 1.3, "twice " + each + ", alone " + alone);
     }
 
     /** Guards what was learnt: a worker that is avoided stays so over a change. */
