--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -28,7 +28,7 @@
     private static final long COUNT_US = 100_000;                // the age of what hosts() tells
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition pending = lock.newCondition();       // a chore, or an earlier timer
-    private final Dispatch.Settings settings;
+    private volatile Dispatch.Settings settings;                 // for transactions that carry none
     private final Logic logic;
     private final Map<Long, Transaction> open = new HashMap<>(); // until ended and no branch is out
     private final Map<String, Route> routes = new HashMap<>();
@@ -147,7 +147,11 @@
 
     /** Other settings for transactions to come; their classes stand where they stood. */
     public void report(Dispatch.Settings next) {
-        locked(() -> guarded("settings", () -> logic.settings(nowUs(), next)));
+        locked(() -> {
+            if (guarded("settings", () -> logic.settings(nowUs(), next))) {
+                settings = next;
+            }
+        });
     }
 
     /** A watch could not be had or broke. */
