A keyed class's Idempotency-Key goes on to the worker; a keyed job without one is refused

Checked: the log showed only the start, so the fault was in every forwarded job; JobRequest builds the worker's head from X-Lane, X-Org and X-Entity alone (caller/JobRequest.java, the fields list) and drops Idempotency-Key, which PROTOCOL says passes on unchanged.

Change: the key, where a client sent one, goes on exactly as written (printable, at most 255 bytes, else 400 naming it); a job of an idempotency_key class without one gets 400 "Idempotency-Key is missing" before any worker sees it, as its workers could drop no repeat.

--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import maplespread.config.Config;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Transaction;
 import maplespread.http.HttpError;
 import maplespread.http.HttpHead;
@@ -87,6 +88,19 @@
             }
             fields.add(new String[] {"X-Entity", entity});
         }
+        // A keyed class is safe to send again only because its workers drop a repeat of the key: a worker
+        // that never sees the key runs the job twice, and one that sees another key takes it for another job.
+        String key = one(head, "Idempotency-Key");
+        boolean keyed = config.settings().classes().get(cls).effect() == Dispatch.Effect.KEYED;
+        if (keyed && (key == null || key.isEmpty())) {
+            throw new HttpError(400, "Idempotency-Key is missing");
+        }
+        if (key != null && !key.isEmpty()) {
+            if (!key.matches("[!-~]{1,255}")) {
+                throw new HttpError(400, "malformed Idempotency-Key");
+            }
+            fields.add(new String[] {"Idempotency-Key", key});
+        }
         message = new Message(head.method(), head.target(), id, lane, fields, body);
         long waitsUntilUs = lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US;
         transaction = new Transaction(cls, tenant, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -170,6 +170,11 @@
             return call(link, body -> HttpParser.response(1 << 20, body));
         }
 
+        /** With the body of an answer that is not 200 too. */
+        Call answerOrError() throws IOException {
+            return call(link, body -> HttpParser.responseOrError(1 << 20, body));
+        }
+
         int status(String text) throws IOException {
             return send(text).answer().head.status();
         }
@@ -212,7 +217,7 @@
             + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
             + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a'],'models':['m'],'discovery':'ask',"
             + "'classes':[" + clazz("page", 1000, "read_like") + ","
-            + clazz("order", 300, "non_idempotent") + "],"
+            + clazz("order", 300, "non_idempotent") + "," + clazz("stock", 300, "idempotency_key") + "],"
             + "'customers':[{'name':'acme','allowancePerS':100}],"
             + "'domain':{'tellsStart':true,'progressMs':2000},"
             + "'permissions':{'probing':true,'tryLimit':5,'dialTimeoutMs':250,'maxRetryAfterMs':2000,"
@@ -244,6 +249,15 @@
             + "\r\nX-Estimate: 50000\r\nContent-Length: 4\r\n\r\nbody";
     }
 
+    /** A job of the keyed class, with the key that its workers drop repeats by. */
+    static String keyed(String id, String key) {
+        return withKey(job("stock", id, 4000), key);
+    }
+
+    static String withKey(String job, String key) {
+        return job.replace("\r\nX-Estimate", "\r\nIdempotency-Key: " + key + "\r\nX-Estimate");
+    }
+
     /** With a console, on a port of its own. */
     static Config console(Config c) {
         return console(c, c.listen(), null);
