--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -90,6 +90,7 @@
         final List<HttpConnection> links = new CopyOnWriteArrayList<>();
         final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
         volatile Script script;
+        String zone = "a";                                       // as discovery names it
 
         Peer(Script script) throws IOException {
             this.script = script;
@@ -202,8 +203,20 @@
     }
 
     Loopback(Script asked, UnaryOperator<Config> change, Peer... workers) throws Exception {
+        this(Site.OUTLET, asked, change, workers);
+    }
+
+    /** On settings shaped like one of the deployments. */
+    Loopback(Site site, Peer... workers) throws Exception {
+        this(site, call -> {
+            call.open();
+            call.line("");
+        }, c -> c, workers);
+    }
+
+    Loopback(Site site, Script asked, UnaryOperator<Config> change, Peer... workers) throws Exception {
         discovery = new Peer(asked);
-        file = config(discovery.address(), workers);
+        file = config(site, discovery.address(), workers);
         server = new Server(change.apply(ConfigReader.read(file, Map.of())),
             () -> {
                 beforeReading.run();
@@ -212,23 +225,64 @@
         server.start();
     }
 
+    /**
+     * Settings shaped like the two deployments, so that a story runs on both in turn. OUTLET: classes safe to
+     * repeat, one never twice, one keyed anywhere; ALLOCATORS: one keyed class whose repeats only the workers
+     * of one zone drop, for 10 s, fewer attempts, a longer drain, Retry-After.
+     */
+    enum Site {
+        OUTLET(new String[][] {{"page", "read_like", "all", "1000"},
+            {"order", "non_idempotent", "all", "300"}, {"stock", "idempotency_key", "all", "300"}}, 0,
+            "'tryLimit':5,'maxRetryAfterMs':2000",
+            "'drainGraceMs':250,'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':4,'fallMs':1000"),
+        ALLOCATORS(new String[][] {{"allocate", "idempotency_key", "zone", "500"}}, 10_000,
+            "'tryLimit':4,'maxRetryAfterMs':2000,'retryAfter':true",
+            "'drainGraceMs':1000,'coldFrom':0.3,'warmWithinMs':8500,'fallMultiple':2.5,'fallMs':3000");
+
+        /** Each class: its name (the lane), its effect, where its repeats are dropped, its aim in ms. */
+        final String[][] lanes;
+        final int tryLimit;
+        final int windowMs;
+        final String classes;
+        final String permissions;
+        final String rules;
+
+        Site(String[][] lanes, int windowMs, String permissions, String rules) {
+            this.lanes = lanes;
+            this.windowMs = windowMs;
+            StringBuilder all = new StringBuilder();
+            for (String[] lane : lanes) {
+                String one = clazz(lane[0], Integer.parseInt(lane[3]), lane[1], lane[2]);
+                all.append(all.length() == 0 ? "" : ",")
+                    .append(one.replace("}", ",'repeatWindowMs':" + windowMs + "}"));
+            }
+            this.classes = all.toString();
+            this.tryLimit = Integer.parseInt(permissions.replaceAll(".*'tryLimit':([0-9]+).*", "$1"));
+            this.permissions = permissions;
+            this.rules = rules;
+        }
+    }
+
     static String config(String discovery, Peer... workers) {
-        return "{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
+        return config(Site.OUTLET, discovery, workers);
+    }
+
+    static String config(Site site, String discovery, Peer... workers) {
+        return ("{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
             + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
-            + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a'],'models':['m'],'discovery':'ask',"
-            + "'classes':[" + clazz("page", 1000, "read_like") + ","
-            + clazz("order", 300, "non_idempotent") + "," + clazz("stock", 300, "idempotency_key") + "],"
+            + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a','b'],'models':['m'],"
+            + "'discovery':'ask',"
+            + "'classes':[" + site.classes + "],"
             + "'customers':[{'name':'acme','allowancePerS':100}],"
             + "'domain':{'tellsStart':true,'progressMs':2000},"
-            + "'permissions':{'probing':true,'tryLimit':5,'dialTimeoutMs':250,'maxRetryAfterMs':2000,"
-            + "'connIdleMs':30000,'cancel':true},'rules':{'drainGraceMs':250,'askWithinMs':10000,"
-            + "'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':4,'fallMs':1000,'answerSlackMs':8}}}"
+            + "'permissions':{'probing':true,'dialTimeoutMs':250,'connIdleMs':30000,'cancel':true,"
+            + site.permissions + "},'rules':{'askWithinMs':10000,'answerSlackMs':8," + site.rules + "}}}")
                 .replace('\'', '"');
     }
 
-    private static String clazz(String name, int aimMs, String effect) {
+    private static String clazz(String name, int aimMs, String effect, String scope) {
         return "{'name':'" + name + "','aimMs':" + aimMs + ",'deadlineMs':5000,'effect':'" + effect
-            + "','dedupScope':'all','worth':2}";
+            + "','dedupScope':'" + scope + "','worth':2}";
     }
 
     static String list(int generation, boolean whole, String state, Peer... workers) {
@@ -236,7 +290,8 @@
         for (Peer w : workers) {
             all.append(all.length() == 0 ? "" : ",").append("{'instanceId':'s-")
                 .append(w.socket.getLocalPort()).append("','hostPort':'").append(w.address())
-                .append("','zone':'a','machineType':'m','cell':1,'lifecycle':'").append(state)
+                .append("','zone':'").append(w.zone).append("','machineType':'m','cell':1,'lifecycle':'")
+                .append(state)
                 .append("','weight':1.0,'startedAtMs':0}");
         }
         return ("{'generation':" + generation + ",'reset':" + whole + ",'instances':[" + all + "]}")
