Subsets for many dispatchers: a deterministic aperture with even cover, and measure fleet

Rendezvous hashing gives 1/N moves but random cover; dealt rounds give exact cover but move most subsets when N changes.

Change: package subset (pure, bound by ArchUnit like the other cores). Workers stand in one seeded order on a ring; dispatcher i starts at the bit-reversed fraction of i and covers an arc of a given width, with part weights at its edges, so lower indices never move when one joins. Cover gives loads, spread and moved share; measure fleet prints them against the aims.

--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable;
 import maplespread.lab.AddressMeasure;
+import maplespread.lab.FleetMeasure;
 import maplespread.lab.RegistryMeasure;
 import maplespread.lab.Report;
 import picocli.CommandLine;
@@ -11,7 +12,7 @@
 /** Measurements that anyone can repeat. */
 @Command(name = "measure", mixinStandardHelpOptions = true,
     description = "Measures a part against its aims; exit status 1 where one is missed.",
-    subcommands = {Measure.Registry.class, Measure.Address.class})
+    subcommands = {Measure.Registry.class, Measure.Address.class, Measure.Fleet.class})
 final class Measure implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -55,4 +56,12 @@
             new AddressMeasure(quick, report).run();
         }
     }
+
+    @Command(name = "fleet", mixinStandardHelpOptions = true,
+        description = "How evenly many dispatchers' subsets cover the workers, and what a change moves.")
+    static final class Fleet extends Part {
+        @Override void run(Report report) {
+            new FleetMeasure(quick, report).run();
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/maplespread/subset/Cover.java
@@ -0,0 +1,48 @@
+package maplespread.subset;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Figures of a fleet's subsets: how evenly they cover the workers and how much moves on a change. */
+public final class Cover {
+    private Cover() { }
+
+    /** Each worker's load: the sum of its weights over all dispatchers. */
+    public static Map<String, Double> loads(int dispatchers, double width, List<String> workers, long seed) {
+        Map<String, Double> load = new HashMap<>();
+        workers.forEach(w -> load.put(w, 0.0));
+        for (int i = 0; i < dispatchers; i++) {
+            Aperture.of(i, dispatchers, width, workers, seed)
+                .forEach((w, x) -> load.merge(w, x, Double::sum));
+        }
+        return load;
+    }
+
+    /** The most loaded worker against the mean; 1 is perfectly even. */
+    public static double spread(Map<String, Double> load) {
+        double max = load.values().stream().mapToDouble(x -> x).max().orElse(0);
+        double mean = load.values().stream().mapToDouble(x -> x).average().orElse(0);
+        return mean == 0 ? 0 : max / mean;
+    }
+
+    /** The share of all weight that differs between two fleets' subsets: what a change moves. */
+    public static double moved(int before, List<String> workersBefore, int after, List<String> workersAfter,
+                               double width, long seed) {
+        double changed = 0;
+        double total = 0;
+        for (int i = 0; i < Math.max(before, after); i++) {
+            Map<String, Double> a = i < before ? Aperture.of(i, before, width, workersBefore, seed)
+                : Map.of();
+            Map<String, Double> b = i < after ? Aperture.of(i, after, width, workersAfter, seed) : Map.of();
+            for (var e : a.entrySet()) {
+                changed += Math.max(0, e.getValue() - b.getOrDefault(e.getKey(), 0.0));
+                total += e.getValue();
+            }
+            for (var e : b.entrySet()) {
+                changed += Math.max(0, e.getValue() - a.getOrDefault(e.getKey(), 0.0));
+            }
+        }
+        return total == 0 ? 0 : changed / (2 * total);
+    }
+}
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -35,7 +35,7 @@
     @Test
     void whatDecidesDoesNoInputOrOutput() {
         String[] pure = {"maplespread.decision", "maplespread.registry", "maplespread.registry.wire",
-            "maplespread.membership", "maplespread.address", "maplespread.announce"};
+            "maplespread.membership", "maplespread.address", "maplespread.announce", "maplespread.subset"};
         noClasses().that().resideInAnyPackage(pure).should().dependOnClassesThat()
             .resideInAnyPackage("java.nio.file..", "java.nio.channels..",
                 "java.util.concurrent..", "java.time..", "org.tinylog..", "maplespread.http..",
@@ -71,7 +71,7 @@
         for (String p : List.of("log", "registry", "registry/wire", "registry/client", "routes", "cli", "lab",
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
-                "upgrade")) {
+                "upgrade", "subset")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
         try (Stream<Path> all = Files.walk(Path.of("src/main/java/maplespread/registry"))) {
--- /dev/null
+++ b/src/test/java/maplespread/subset/ApertureTest.java
@@ -0,0 +1,71 @@
+package maplespread.subset;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Subsets with seeds: even cover, few moves, the same answer at every dispatcher. */
+class ApertureTest {
+    private static List<String> workers(int n, String prefix) {
+        return IntStream.range(0, n).mapToObj(i -> prefix + i).toList();
+    }
+
+    @Test void eachDispatcherCoversItsWidthAndAllAgree() {
+        List<String> ws = workers(1000, "w-");
+        for (int i = 0; i < 50; i++) {
+            Map<String, Double> s = Aperture.of(i, 50, 37.5, ws, 7);
+            assertEquals(37.5, s.values().stream().mapToDouble(x -> x).sum(), 1e-6);
+            assertTrue(s.values().stream().allMatch(x -> x > 0 && x <= 1 + 1e-12));
+            List<String> shuffled = new ArrayList<>(ws);
+            java.util.Collections.reverse(shuffled);
+            assertEquals(s, Aperture.of(i, 50, 37.5, shuffled, 7), "the list's order must not matter");
+        }
+    }
+
+    @Test void theFleetCoversTheWorkersEvenly() {
+        // 200 dispatchers, 10,000 workers: the bound of issue 22 (max over mean 1.10) holds from a width of
+        // 2,000 workers a dispatcher (40 dispatchers a worker); narrower, the positions' gaps show.
+        for (long seed : new long[] {1, 2}) {
+            double wide = Cover.spread(Cover.loads(200, 2000, workers(10_000, "s" + seed + "-"), seed));
+            assertTrue(wide <= 1.10, "max over mean " + wide);
+        }
+        double exact = Cover.spread(Cover.loads(64, 100, workers(640, "p-"), 3));
+        assertEquals(1.0, exact, 1e-9, "a power of two of dispatchers covers exactly");
+    }
+
+    @Test void aDispatcherThatJoinsMovesNothingOfTheOthers() {
+        List<String> ws = workers(2000, "w-");
+        for (int n : new int[] {5, 50, 199}) {
+            double moved = Cover.moved(n, ws, n + 1, ws, 80, 11);
+            assertTrue(moved <= 1.0 / (n + 1) + 1e-9, n + " to " + (n + 1) + ": " + moved);
+        }
+    }
+
+    @Test void aWorkerThatComesOrGoesMovesLittle() {
+        for (long seed : new long[] {1, 2}) {
+            List<String> ws = workers(2000, "w-");
+            List<String> more = new ArrayList<>(ws);
+            more.add("new");
+            List<String> fewer = ws.subList(1, ws.size());
+            for (List<String> other : List.of(more, fewer)) {
+                double moved = Cover.moved(50, ws, 50, other, 80, seed);
+                assertTrue(moved <= 1.0 / 50 + 0.05, "moved " + moved);
+            }
+        }
+    }
+
+    @Test void smallAndWrongCases() {
+        assertEquals(Map.of("a", 1.0, "b", 1.0), Aperture.of(0, 3, 5, List.of("a", "b"), 1));
+        assertTrue(Aperture.of(2, 3, 2, List.of(), 1).isEmpty());
+        assertEquals(1.0, Aperture.of(4, 9, 1, workers(1, "x"), 1).get("x0"));
+        assertThrows(IllegalArgumentException.class, () -> Aperture.of(3, 3, 2, List.of("a"), 1));
+        assertThrows(IllegalArgumentException.class, () -> Aperture.of(0, 1, 0.5, List.of("a"), 1));
+        assertThrows(IllegalArgumentException.class, () -> Aperture.of(0, 1, Double.NaN, List.of("a"), 1));
+    }
+}
