--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -61,7 +61,7 @@
         description = "How evenly many dispatchers' subsets cover the workers, and what a change moves.")
     static final class Fleet extends Part {
         @Override void run(Report report) {
-            new FleetMeasure(quick, report).run();
+            FleetMeasure.run(quick, report);
         }
     }
 }
--- a/src/main/java/maplespread/decision/Numbers.java
+++ b/src/main/java/maplespread/decision/Numbers.java
@@ -4,7 +4,7 @@
 import java.util.SplittableRandom;
 
 /** Small arithmetic for {@link Logic}. */
-final class Numbers {
+public final class Numbers {
     private static final double[] QUANTILES = new double[256];
 
     static {
@@ -30,8 +30,8 @@
         return x > low ? Math.min(x, high) : low;
     }
 
-    /** A text's hash, the same at all nodes. */
-    static long hash(String text) {
+    /** A text's hash, the same at all nodes; subsets order workers by it too. */
+    public static long hash(String text) {
         long h = 0xcbf29ce484222325L;
         for (int i = 0; i < text.length(); i++) {
             h = (h ^ text.charAt(i)) * 0x100000001b3L;
--- a/src/main/java/maplespread/subset/Aperture.java
+++ b/src/main/java/maplespread/subset/Aperture.java
@@ -1,11 +1,11 @@
 package maplespread.subset;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import maplespread.decision.Numbers;
 
 /**
  * A deterministic aperture on a ring. Workers stand in an order that every dispatcher draws alike from
@@ -64,19 +64,8 @@
     /** The workers in the order all dispatchers agree on; a worker's place depends on its id and the seed. */
     static String[] ordered(List<String> workers, long seed) {
         String[] all = workers.stream().distinct().toArray(String[]::new);
-        Arrays.sort(all, Comparator.comparingLong((String w) -> hash(w, seed)).thenComparing(w -> w));
+        Arrays.sort(all, Comparator.comparingLong((String w) -> Numbers.hash(seed + "/" + w))
+            .thenComparing(w -> w));
         return all;
     }
-
-    /** FNV-1a over the id, then a 64-bit finaliser (SplitMix64's) with the seed mixed in. */
-    static long hash(String id, long seed) {
-        long h = 0xcbf29ce484222325L ^ seed;
-        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
-            h = (h ^ (b & 0xff)) * 0x100000001b3L;
-        }
-        h += 0x9e3779b97f4a7c15L;
-        h = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
-        h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
-        return h ^ (h >>> 31);
-    }
 }
--- a/src/test/java/maplespread/net/SitesTest.java
+++ b/src/test/java/maplespread/net/SitesTest.java
@@ -63,6 +63,28 @@
         }
     }
 
+    /** Rows: the key a job brings (null: none) and the answer; without a key, a class without keys serves. */
+    @Test public void aKeyIsCheckedBeforeAnyWorkerSeesIt() throws Exception {
+        String[][] rows = {{null, "400"}, {"two words", "400"}, {"x".repeat(256), "400"}, {"k-1", "200"}};
+        try (Peer worker = new Peer(DONE); Loopback here = new Loopback(site, worker);
+             Client client = here.new Client()) {
+            int n = 0;
+            for (String[] lane : site.lanes) {
+                boolean keyed = lane[1].equals("idempotency_key");
+                for (String[] row : rows) {
+                    String job = job(lane[0], "c" + n++, 4000);
+                    Call answer = client.send(row[0] == null ? job : Loopback.withKey(job, row[0]))
+                        .answerOrError();
+                    int wanted = row[0] == null && !keyed ? 200 : Integer.parseInt(row[1]);
+                    assertEquals(lane[0] + " with " + row[0], wanted, answer.head.status());
+                    assertEquals("seen by a worker: " + row[0], wanted == 200,
+                        !jobs(worker, lane[0]).isEmpty());
+                    assertTrue(answer.body, wanted == 200 || answer.body.contains("Idempotency-Key"));
+                }
+            }
+        }
+    }
+
     /**
      * Rule 2 over sockets: a job that may have run goes out again only where its class says a repeat is
      * dropped (the same zone within the window, for a keyed class), never for a class that must not run
