--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -24,6 +24,7 @@
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.console.Console;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -32,9 +33,11 @@
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.client.RegistrySource;
 import maplespread.routes.Handover;
+import maplespread.routes.Narrowed;
 import maplespread.routes.RouteReader;
 import maplespread.routes.RouteSet;
 import maplespread.routes.RouteSink;
+import maplespread.subset.Cut;
 import maplespread.upgrade.Note;
 import maplespread.upgrade.Presence;
 import maplespread.worker.Branches;
@@ -75,6 +78,9 @@
     private final Branches branches;
     private final Prober prober;
     private final Handover routes;
+    private final RouteSink sink;
+    private Narrowed narrowed;                                   // null: all workers are used
+    private int sharers;                                         // of a worker; 0: as the settings say
     private volatile Consumer<RouteNews> tap = news -> { };
     private RegistrySettings registry;                           // null: discovery has the word
     private final List<Thread> parts;
@@ -108,7 +114,7 @@
         figures.show(config.names().classes());
         prober = new Prober(this::config, links, dispatcher);
         registry = operator.registry();
-        routes = new Handover(maker(config, registry), new RouteSink() {
+        RouteSink all = new RouteSink() {
             @Override public void news(RouteNews news) {
                 dispatcher.report(news);
                 told.countDown();
@@ -118,7 +124,13 @@
             @Override public void watchLost() {
                 dispatcher.reportWatchLost();
             }
-        });
+        };
+        if (operator.subset() != null) {
+            narrowed = new Narrowed(new Cut(config.settings().index(), config.settings().balancers(),
+                operator.subset(), 0), this::among, all);
+        }
+        sink = narrowed == null ? all : narrowed;
+        routes = new Handover(maker(config, registry), sink);
         parts = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
     }
 
@@ -136,7 +148,7 @@
      * be relieved, not before it has the list anew, or has waited a while: until then the other one serves.
      */
     public void start() throws IOException {
-        dispatcher.report(config.known());
+        sink.news(config.known());
         if (config.console() != null) {
             console = new Console(config.console(), Config.CONSOLE_PLACES, new Calls(lifecycle::accepting,
                 this::figures, lifecycle::quiesce, lifecycle::resume));
@@ -182,7 +194,8 @@
 
     /** What the operators are shown. */
     private String figures() {
-        figures.hosts(dispatcher.hosts());
+        Figures.Hosts hosts = dispatcher.hosts();
+        figures.hosts(narrowed == null ? hosts : new Figures.Hosts(narrowed.listed(), hosts.down()));
         return figures.text();
     }
 
@@ -199,13 +212,27 @@
         synchronized (turn) {
             if (now != shared) {
                 shared = now;
-                dispatcher.report(now ? config.settings().shared() : config.settings());
+                dispatcher.report(ours(config.settings()));
                 Logger.info(now ? "another process of this dispatcher lives: shares the limits"
                     : "alone again: takes all of the limits");
             }
         }
     }
 
+    /** So many dispatchers share each worker that this one uses. */
+    private void among(int count) {
+        synchronized (turn) {
+            sharers = count;
+            dispatcher.report(ours(config.settings()));
+        }
+    }
+
+    /** The settings as the module is to have them: with the count of those that share the workers. */
+    private Dispatch.Settings ours(Dispatch.Settings told) {
+        Dispatch.Settings set = sharers > 0 ? told.among(sharers) : told;
+        return shared ? set.shared() : set;
+    }
+
     private void say(Note.State state) {
         if (presence != null) {
             presence.say(state);
@@ -234,16 +261,23 @@
         try {
             Config read = source.read();
             Config next = read.after(config);
-            RegistrySettings then = source.operator().registry();
+            Operator operator = source.operator();
+            RegistrySettings then = operator.registry();
             List<String> later = config.needingRestart(read);
             if (!later.isEmpty()) {
                 Logger.warn("configuration: changed, but taken up only by a restart: {}", later);
             }
             figures.show(next.names().live());
             synchronized (turn) {
-                dispatcher.report(shared ? next.settings().shared() : next.settings());
+                dispatcher.report(ours(next.settings()));
                 config = next;                                   // last: the module must know a class first
             }
+            if (narrowed != null) {                              // on or off is taken up by a restart
+                narrowed.fleet(next.settings().balancers(),
+                    operator.subset() == null ? Cut.Wish.ALL : operator.subset());
+            } else if (operator.subset() != null) {
+                Logger.warn("operator: subset is taken up only by a restart");
+            }
             figures.reconfigured(true);
             if (!Objects.equals(registry, then)) {
                 registry = then;
--- a/src/main/java/maplespread/config/Operator.java
+++ b/src/main/java/maplespread/config/Operator.java
@@ -1,12 +1,18 @@
 package maplespread.config;
 
 import maplespread.registry.RegistrySettings;
+import maplespread.subset.Cut;
 
 /**
  * What the operators' own file says, read and checked by {@link OperatorReader}. {@code registry}: null where
- * the workers come from the platform's discovery.
+ * the workers come from the platform's discovery; {@code subset}: null where each dispatcher uses all workers.
  */
-public record Operator(boolean jsonLog, RegistrySettings registry) {
+public record Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset) {
     /** What counts where there is no file. */
-    public static final Operator NONE = new Operator(false, null);
+    public static final Operator NONE = new Operator(false, null, null);
+
+    /** Without subsets. */
+    public Operator(boolean jsonLog, RegistrySettings registry) {
+        this(jsonLog, registry, null);
+    }
 }
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -5,6 +5,7 @@
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.RegistrySettings.Dialect;
 import maplespread.routes.RouteReader;
+import maplespread.subset.Cut;
 
 /**
  * The one place where the operators' own file is read, checked and given defaults. docs/operators/registry.md
@@ -27,8 +28,13 @@
         Checked log = root.part("log");
         boolean json = log.oneOf("form", "text", List.of("text", "json")).equals("json");
         RegistrySettings registry = root.has("registry") ? registry(root.part("registry")) : null;
+        Cut.Wish subset = null;
+        if (root.has("subset")) {
+            Checked in = root.part("subset");
+            subset = new Cut.Wish(in.whole("sharers", 10, 1, 100_000), in.whole("least", 20, 1, 1_000_000));
+        }
         root.end();
-        return new Operator(json, registry);
+        return new Operator(json, registry, subset);
     }
 
     private static RegistrySettings registry(Checked in) throws ConfigError {
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -114,8 +114,13 @@
          * work for a cold worker, is halved, so that both together take what the one would.
          */
         public Settings shared() {
-            return new Settings(2 * balancers, index, zone, ask, byWork, tellsStart, progressMs, inOrder,
-                tickMs, overShare, crossZone, classes, tenants, permissions, rules);
+            return among(2 * balancers);
+        }
+
+        /** The same where so many nodes share each of the workers. */
+        public Settings among(int nodes) {
+            return new Settings(nodes, index, zone, ask, byWork, tellsStart, progressMs, inOrder, tickMs,
+                overShare, crossZone, classes, tenants, permissions, rules);
         }
 
         /** The same with other classes. */
--- a/src/main/java/maplespread/subset/Aperture.java
+++ b/src/main/java/maplespread/subset/Aperture.java
@@ -10,8 +10,7 @@
 /**
  * A deterministic aperture on a ring. Workers stand in an order that every dispatcher draws alike from
  * the seed, worker {@code j} of {@code M} on the arc [j/M, (j+1)/M). Dispatcher {@code i} stands at the
- * bit-reversed fraction of {@code i} (0, 1/2, 1/4, 3/4, ...) and covers the arc of {@code k/M} from there; a
- * worker's weight is the part of its arc covered, in (0, 1]. Guards against: a herd on the workers that
+ * fraction of {@code i} times the golden ratio and covers the arc of {@code k/M} from there; a worker's weight is the part of its arc covered, in (0, 1]. Guards against: a herd on the workers that
  * every dispatcher's first choices share (the order is one for all, the starts differ); a dispatcher that
  * joins moving others (the positions of indices below it never change); a worker that joins moving more
  * than the edges of arcs.
@@ -34,31 +33,41 @@
             throw new IllegalArgumentException("width must be 1 or more, not " + width);
         }
         String[] order = ordered(workers, seed);
-        int m = order.length;
         Map<String, Double> subset = new LinkedHashMap<>();
-        if (m == 0) {
-            return subset;
-        }
+        arc(index, width, order.length, (place, covered) -> subset.merge(order[place], covered, Double::sum));
+        return subset;
+    }
+
+    /** Takes a place on the ring and how much of its worker's arc is covered. */
+    interface Covered {
+        void at(int place, double part);
+    }
+
+    /** The places, of {@code m}, that the arc of {@code width} workers of a dispatcher covers. */
+    static void arc(int index, double width, int m, Covered to) {
         if (width >= m) {
-            for (String w : order) {
-                subset.put(w, 1.0);
+            for (int j = 0; j < m; j++) {
+                to.at(j, 1);
             }
-            return subset;
+            return;
         }
         double from = position(index) * m;                       // in units of one worker's arc
-        double to = from + width;
-        for (long j = (long) Math.floor(from); j < Math.ceil(to); j++) {
-            double covered = Math.min(to, j + 1) - Math.max(from, j);
+        double end = from + width;
+        for (long j = (long) Math.floor(from); j < Math.ceil(end); j++) {
+            double covered = Math.min(end, j + 1) - Math.max(from, j);
             if (covered > LEAST) {
-                subset.merge(order[(int) (j % m)], covered, Double::sum);
+                to.at((int) (j % m), covered);
             }
         }
-        return subset;
     }
 
-    /** The bit-reversed fraction of {@code i}: each new index halves the largest gap left. */
+    /**
+     * The fraction of {@code i} times the golden ratio: each new index falls into one of the largest gaps. So do
+     * the indices of any part of the fleet, every fourth one say: where zones are dealt out by index, the
+     * dispatchers of each zone still spread over the whole ring.
+     */
     static double position(int i) {
-        return (Integer.reverse(i) >>> 1) / (double) (1L << 31);
+        return (i * 0x9E3779B97F4A7C15L >>> 11) / (double) (1L << 53);
     }
 
     /** The workers in the order all dispatchers agree on; a worker's place depends on its id and the seed. */
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import maplespread.registry.RegistrySettings;
+import maplespread.subset.Cut;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -29,6 +30,8 @@
         assertEquals(RegistrySettings.of(RegistrySettings.Dialect.ETCD, java.util.List.of("127.0.0.1:2379"),
             java.util.List.of("/a/")), o.registry());
         assertNull(read("{}").registry());
+        assertNull(read("{}").subset());
+        assertEquals(new Cut.Wish(10, 20), read("{'subset':{}}").subset());
         assertEquals(Operator.NONE, OperatorReader.file(null));
     }
 
@@ -46,6 +49,8 @@
         "'follow':['/a/']          | 'follow':['/a/'],'page':0 | registry.page: must be a whole number from",
         "'follow':['/a/']          | 'follow':['/a/'],'page':1.5 | registry.page: must be a whole number",
         "'follow':['/a/']          | 'follow':['/a/'],'wait_ms':'x' | registry.wait_ms: not a number",
+        "{'form':'json'}           | {'form':'json'},'subset':{'sharers':0} | subset.sharers: must be a whole",
+        "{'form':'json'}           | {'form':'json'},'subset':{'leats':5} | subset.leats: is not known; did you",
         "{'form':'json'}           | {'form':'xml'}       | log.form: must be one of",
         "{'form':'json'}           | 3                    | log: must be an object",
         "'log'                     | 'logs'               | logs: is not known; did you mean log?"})
