A rig of real processes among faults between any two of them, and its first story

Faults act in the stand-ins and not in proxies: those cost two threads a connection and cannot tell whether a job ran.

Its first play served nothing: the stand-in read X-Estimate, which dispatchers do not hand on; the work now stands in the query.

--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -271,7 +271,8 @@
             return 1;
         }
         double leftMs = (t.deadlineUs - nowUs()) / 1000.0;
-        return shares.of(nowUs() / 1000.0, t.id, t.tenant, settings.firstTry(t.cls, leftMs), settings.balancers());
+        return shares.of(nowUs() / 1000.0, t.id, t.tenant, settings.firstTry(t.cls, leftMs),
+            settings.balancers());
     }
 
     private void locked(Runnable work) {
--- a/src/main/java/maplespread/fair/Shares.java
+++ b/src/main/java/maplespread/fair/Shares.java
@@ -7,19 +7,20 @@
 import maplespread.decision.Dispatch;
 
 /**
- * What requests count for under their tenants' shares. Token buckets by tenant are filled at this dispatcher's
- * part of each allowance. What part that is, nobody tells: one node in N has 1/N of the traffic on the mean, and
- * some have several times that. So a bucket fills by the larger of two: the plain 1/N, and what the other tenants'
- * traffic here is of their allowances. The first is right where all dispatchers have alike, the second where this
- * one has more than others; a tenant's own traffic says nothing of its part, or greed would make room for itself.
+ * What requests count for under their tenants' shares. Token buckets by tenant are filled at this
+ * dispatcher's part of each allowance. What part that is, nobody tells: one node in N has 1/N of the traffic
+ * on the mean, and some have several times that. So a bucket fills by the larger of two: the plain 1/N, and
+ * what the other tenants' traffic here is of their allowances. The first is right where all dispatchers have
+ * alike, the second where this one has more than others; a tenant's own traffic says nothing of its part, or
+ * greed would make room for itself.
  *
  * <p>Who is beyond its share counts in full as long as nobody within is turned away for it. As more of those
  * within are, it counts for less, down to nearly nothing at {@link #SHORT}: then the module, which weighs a
  * request by its worth, turns it away first.
  *
- * <p>Guards against a tenant's burst that every dispatcher takes for its own small part of it, against a tenant
- * that is thought greedy at a dispatcher where simply more of all arrives, and against a price for being beyond
- * on days when there is enough for all.
+ * <p>Guards against a tenant's burst that every dispatcher takes for its own small part of it, against a
+ * tenant that is thought greedy at a dispatcher where simply more of all arrives, and against a price for
+ * being beyond on days when there is enough for all.
  */
 public final class Shares {
     private static final double BURST_MS = 1000;                 // a bucket holds its fill of so long
@@ -27,7 +28,7 @@
     private static final double STEP = 0.02;                     // of one end: about 50 are remembered
     private static final double SHORT = 0.01;                    // of those within, turned away: too many
     private static final double LEAST = 0.01;
-    private final double[] allowances;                           // a second, over all dispatchers; 0: no limit
+    private final double[] allowances;                           // a second, over all nodes; 0: no limit
     private final double[] tokens;
     private final double[] filled;                               // when each bucket was last looked at
     private final double sum;
@@ -48,8 +49,8 @@
 
     /**
      * What the request counts for, from 0.01 to 1. {@code first}: not a later try of one that was counted
-     * before; those are judged and not counted again. {@code dispatchers}: among how many the tenants' traffic
-     * is spread.
+     * before; those are judged and not counted again. {@code dispatchers}: among how many the tenants'
+     * traffic is spread.
      */
     public double of(double nowMs, long id, int tenant, boolean first, int dispatchers) {
         if (tenant < 0 || tenant >= allowances.length || allowances[tenant] <= 0) {
--- /dev/null
+++ b/src/main/java/maplespread/lab/rig/RigWorker.java
@@ -0,0 +1,154 @@
+package maplespread.lab.rig;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpHead;
+import maplespread.http.HttpParser;
+import maplespread.http.HttpWriter;
+import maplespread.lab.fleet.WorkerModel;
+
+/** A worker behind sockets: the model in real time, and the protocol's lines. */
+final class RigWorker {
+    private static final long HOLD_MS = 30_000;
+    private static final long STEP_MS = 5;
+
+    /** A job as it stands in the model: what the model says of it goes to its connection's thread. */
+    private static final class Job {
+        final LinkedBlockingQueue<String> news = new LinkedBlockingQueue<>();
+    }
+
+    final String name;
+    final String zone;
+    final Way[] ways;                                            // by dispatcher
+    final String[] doors;
+    private final Ledger ledger;
+    private final WorkerModel<Job> model;
+    private final long start = System.nanoTime();
+    private final double base;
+    private volatile int generation;                             // of its process, by restarts
+    private double worst;
+
+    /** {@code sinceMs}: how long it has been up; 0: it starts now, cold. */
+    RigWorker(String name, String zone, WorkerModel.Kind kind, int dispatchers, double sinceMs, Doors doors,
+            Ledger ledger) throws IOException {
+        this.name = name;
+        this.zone = zone;
+        this.ledger = ledger;
+        base = sinceMs;
+        model = new WorkerModel<>(kind, 0);
+        ways = new Way[dispatchers];
+        this.doors = new String[dispatchers];
+        for (int d = 0; d < dispatchers; d++) {
+            Way way = new Way();
+            ways[d] = way;
+            this.doors[d] = doors.open(link -> {
+                try {
+                    serve(link, way);
+                } catch (InterruptedException ended) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+        Doors.daemon("worker " + name, this::run);
+    }
+
+    private double nowMs() {
+        return base + (System.nanoTime() - start) / 1e6;
+    }
+
+    private void run() throws InterruptedException {
+        while (true) {
+            step();
+            Thread.sleep(STEP_MS);
+        }
+    }
+
+    private synchronized void step() {
+        for (WorkerModel.Step<Job> s : model.advance(nowMs())) {
+            s.job().news.add(s.done() ? "done\",\"result\":\"ok" : "started");
+        }
+    }
+
+    /** Its process ends and another one starts, cold: connections break, what it held is lost. */
+    synchronized void restart() {
+        worst = worst();
+        generation++;
+        model.restart(nowMs()).forEach(job -> job.news.add(""));
+    }
+
+    synchronized void slow(double times) {
+        model.slow(times);
+    }
+
+    synchronized boolean cold() {
+        return model.cold(nowMs());
+    }
+
+    /** When it started, in Unix time; 0 where it has been up for long. */
+    synchronized long startedAtMs() {
+        return model.cold(nowMs()) ? System.currentTimeMillis() - Math.round(nowMs() - model.startedMs()) : 0;
+    }
+
+    /** The most work it was sent while cold within the window of the rule, over what it could do. */
+    synchronized double worst() {
+        return Math.max(worst, model.worst());
+    }
+
+    private void serve(HttpConnection link, Way way) throws IOException, InterruptedException {
+        ledger.dials.increment();
+        int mine = generation;
+        while (way.open(HOLD_MS) && link.fill(HOLD_MS) && way.open(HOLD_MS) && mine == generation) {
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            HttpParser parser = HttpParser.request(body::write);
+            link.receive(parser, HOLD_MS);
+            HttpHead head = parser.head();
+            if (head.method().equals("GET")) {
+                ledger.probes.increment();
+                way.send(link, HttpWriter.response(200).body(load().getBytes()));
+            } else if (!job(link, way, head, mine)) {
+                return;
+            }
+        }
+    }
+
+    private synchronized String load() {
+        return "{\"util\":" + model.util() + ",\"x0\":" + model.freeSlots() + "}";
+    }
+
+    /** False: the connection has ended with it. */
+    private boolean job(HttpConnection link, Way way, HttpHead head, int mine)
+            throws IOException, InterruptedException {
+        String id = head.get("X-Txn");
+        ledger.jobs.increment();
+        if ("order".equals(head.get("X-Lane"))) {
+            ledger.order(id);
+        }
+        Job job = new Job();
+        synchronized (this) {
+            if (mine != generation) {
+                return false;
+            }
+            String target = head.target();                       // ends with the work in microseconds
+            model.submit(nowMs(), job, Long.parseLong(target.substring(target.indexOf('=') + 1)) / 1000.0);
+        }
+        step();
+        if (way.fault == Way.Fault.RESET) {
+            return false;                                        // and the job runs on, unheard
+        }
+        way.send(link, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+        String state = "";
+        while (!state.startsWith("done")) {
+            state = job.news.poll(HOLD_MS, TimeUnit.MILLISECONDS);
+            if (state == null || state.isEmpty()) {
+                return false;
+            }
+            String line = "{\"id\":\"" + id + "\",\"from\":\"" + name + "\",\"state\":\"" + state + "\"}\n";
+            way.send(link, (Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"
+                + (state.startsWith("done") ? "0\r\n\r\n" : "")).getBytes());
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/lab/rig/ServeProcess.java
@@ -0,0 +1,123 @@
+package maplespread.lab.rig;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One real dispatcher process. It keeps its address over restarts, as the platform's do. No process outlives
+ * the rig: each is ended by {@link #end}, and by a hook where the rig's own process is ended first.
+ */
+final class ServeProcess {
+    private static final Pattern SERVES = Pattern.compile("serves on /127\\.0\\.0\\.1:([0-9]+)");
+    private static final long START_MS = 60_000;
+    private final String name;
+    private final Path folder;
+    private final Path config;
+    private final Path operator;
+    private Process process;
+    private volatile int port;
+    private volatile boolean said;
+    private volatile long killedAt;                              // nanoseconds; 0: never
+
+    /** {@code operator}: the operators' file, or null. */
+    ServeProcess(String name, Path folder, Path operator) {
+        this.name = name;
+        this.folder = folder;
+        this.operator = operator;
+        config = folder.resolve(name + ".json");
+    }
+
+    /** Starts it on this configuration; the address is put in. Returns at once. */
+    synchronized void start(String text) throws IOException {
+        Files.writeString(config, text);
+        said = false;
+        Path tmp = folder.resolve(name + ".tmp");
+        Files.createDirectories(tmp);
+        ProcessBuilder call = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
+            "-XX:+UseSerialGC", "-Xmx40m", "-Xss256k", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
+            "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
+            "maplespread.Main", "serve").redirectErrorStream(true);
+        call.environment().put("BALANCER_CONFIG", config.toString());
+        call.environment().put("BALANCER_NAME", name);
+        call.environment().put("BALANCER_LISTEN", "127.0.0.1:" + port);
+        call.environment().put("TMPDIR", tmp.toString());
+        call.environment().remove("JAVA_TOOL_OPTIONS");
+        if (operator != null) {
+            call.environment().put("BALANCER_OPERATOR", operator.toString());
+        }
+        process = call.start();
+        Process mine = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(mine::destroyForcibly));
+        Doors.daemon("log " + name, () -> {
+            try (BufferedReader log = new BufferedReader(new InputStreamReader(mine.getInputStream()));
+                    var kept = Files.newBufferedWriter(folder.resolve(name + ".log"),
+                        java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND)) {
+                for (String line = log.readLine(); line != null; line = log.readLine()) {
+                    kept.write(line + "\n");
+                    kept.flush();
+                    Matcher m = SERVES.matcher(line);
+                    if (m.find()) {
+                        port = Integer.parseInt(m.group(1));
+                        said = true;
+                    }
+                }
+            }
+        });
+    }
+
+    /** Waits until it says that it serves. */
+    void awaitServing() throws IOException, InterruptedException {
+        long end = System.nanoTime() + START_MS * 1_000_000;
+        while (!said) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw new IOException(name + " did not come up; see " + folder.resolve(name + ".log"));
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    boolean serving() {
+        return said && process.isAlive();
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    /** Whether it was killed at that time or later: what it held then nobody could answer. */
+    boolean killedSince(long nanos) {
+        return killedAt != 0 && killedAt - nanos >= 0;
+    }
+
+    synchronized void kill() throws InterruptedException {
+        killedAt = System.nanoTime();
+        said = false;
+        process.destroyForcibly().waitFor();
+    }
+
+    /** SIGSTOP, SIGCONT, SIGHUP, SIGTERM. */
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder(List.of("kill", "-" + signal, Long.toString(process.pid()))).start().waitFor();
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Ends it whatever state it is in; whether it is gone. */
+    boolean end() throws InterruptedException {
+        if (process == null) {
+            return true;
+        }
+        process.destroyForcibly();
+        return process.waitFor(10, TimeUnit.SECONDS);
+    }
+}
--- a/src/main/java/maplespread/routes/Narrowed.java
+++ b/src/main/java/maplespread/routes/Narrowed.java
@@ -14,8 +14,8 @@
 /**
  * Hands on of the route set what lies in this dispatcher's subset ({@link Cut}), and says among how many
  * dispatchers each of these workers is shared. A worker that drains leaves the ring at once, so that another
- * one takes its place, and the drain of one in use is always handed on. One that falls out of the subset alone
- * is handed on as deleted: it gets nothing new, and what it runs is finished.
+ * one takes its place, and the drain of one in use is always handed on. One that falls out of the subset
+ * alone is handed on as deleted: it gets nothing new, and what it runs is finished.
  */
 public final class Narrowed implements RouteSink {
     private final RouteSink to;
@@ -96,8 +96,8 @@
     }
 
     private static Route gone(Route r) {
-        return new Route(r.worker(), r.address(), Route.State.DELETED, r.weight(), r.kind(), r.cell(), r.zone(),
-            r.startedAtMs());
+        return new Route(r.worker(), r.address(), Route.State.DELETED, r.weight(), r.kind(), r.cell(),
+            r.zone(), r.startedAtMs());
     }
 
     /** How many workers the whole list has. */
--- a/src/main/java/maplespread/subset/Aperture.java
+++ b/src/main/java/maplespread/subset/Aperture.java
@@ -8,12 +8,12 @@
 import maplespread.decision.Numbers;
 
 /**
- * A deterministic aperture on a ring. Workers stand in an order that every dispatcher draws alike from
- * the seed, worker {@code j} of {@code M} on the arc [j/M, (j+1)/M). Dispatcher {@code i} stands at the
- * fraction of {@code i} times the golden ratio and covers the arc of {@code k/M} from there; a worker's weight is the part of its arc covered, in (0, 1]. Guards against: a herd on the workers that
- * every dispatcher's first choices share (the order is one for all, the starts differ); a dispatcher that
- * joins moving others (the positions of indices below it never change); a worker that joins moving more
- * than the edges of arcs.
+ * A deterministic aperture on a ring. Workers stand in an order that every dispatcher draws alike from the
+ * seed, worker {@code j} of {@code M} on the arc [j/M, (j+1)/M). Dispatcher {@code i} stands at the fraction
+ * of {@code i} times the golden ratio and covers the arc of {@code k/M} from there; a worker's weight is the
+ * part of its arc covered, in (0, 1]. Guards against: a herd on the workers that every dispatcher's first
+ * choices share (the order is one for all, the starts differ); a dispatcher that joins moving others (the
+ * positions of indices below it never change); a worker that joins moving more than the edges of arcs.
  */
 public final class Aperture {
     private static final double LEAST = 1e-9;                    // a weight below this is no connection
@@ -62,8 +62,8 @@
     }
 
     /**
-     * The fraction of {@code i} times the golden ratio: each new index falls into one of the largest gaps. So do
-     * the indices of any part of the fleet, every fourth one say: where zones are dealt out by index, the
+     * The fraction of {@code i} times the golden ratio: each new index falls into one of the largest gaps. So
+     * do the indices of any part of the fleet, every fourth one say: where zones are dealt out by index, the
      * dispatchers of each zone still spread over the whole ring.
      */
     static double position(int i) {
--- a/src/main/java/maplespread/subset/Cut.java
+++ b/src/main/java/maplespread/subset/Cut.java
@@ -10,15 +10,15 @@
 import maplespread.decision.Numbers;
 
 /**
- * Which workers of the list one dispatcher uses, and among how many dispatchers each of these is shared. Every
- * zone is cut by itself, in proportion to its size, so that a zone that is lost leaves each dispatcher with
- * workers in all others, among which the module's crossing toll decides.
+ * Which workers of the list one dispatcher uses, and among how many dispatchers each of these is shared.
+ * Every zone is cut by itself, in proportion to its size, so that a zone that is lost leaves each dispatcher
+ * with workers in all others, among which the module's crossing toll decides.
  *
  * <p>Guards against a cold budget, or any other limit that dispatchers share by their count, that is split
- * among all of them while only some use the worker (too little), or among too few (the sum overruns it): {@link
- * #sharers} is the most that can meet at one worker of this cut, as all of them compute it. A dispatcher keeps
- * the index it has started with: where indices are given out anew because one has gone, only the gap it leaves
- * is felt, and nobody's arc moves.
+ * among all of them while only some use the worker (too little), or among too few (the sum overruns it):
+ * {@link #sharers} is the most that can meet at one worker of this cut, as all of them compute it. A
+ * dispatcher keeps the index it has started with: where indices are given out anew because one has gone, only
+ * the gap it leaves is felt, and nobody's arc moves.
  */
 public final class Cut {
     private record Spot(long hash, String worker) implements Comparable<Spot> {
@@ -28,8 +28,8 @@
     }
 
     /**
-     * {@code sharers}: how many dispatchers are to meet at a worker, 0: all of them; {@code least}: workers that
-     * a dispatcher uses at the least, as far as there are so many.
+     * {@code sharers}: how many dispatchers are to meet at a worker, 0: all of them; {@code least}: workers
+     * that a dispatcher uses at the least, as far as there are so many.
      */
     public record Wish(double sharers, double least) {
         public static final Wish ALL = new Wish(0, 1);
@@ -69,7 +69,8 @@
     /** How many workers a dispatcher uses, over all zones. */
     public double width() {
         int all = zoneOf.size();
-        return wish.sharers == 0 ? all : Math.min(all, Math.max(wish.least, wish.sharers * all / dispatchers));
+        double wanted = Math.max(wish.least, wish.sharers * all / dispatchers);
+        return wish.sharers == 0 ? all : Math.min(all, wanted);
     }
 
     /** The worker is on the list, there. */
@@ -137,7 +138,9 @@
         return mine;
     }
 
-    /** Adds one dispatcher's arc to the sums: +1 where it begins, -1 behind its end, in one turn of the ring. */
+    /**
+     * Adds one dispatcher's arc to the sums: +1 where it begins, -1 behind its end, in one turn of the ring.
+     */
     private static void meet(int index, double part, int m, int[] edges) {
         int from = (int) Math.floor(Aperture.position(index) * m);
         int to = (int) Math.ceil(Aperture.position(index) * m + part);
--- a/src/test/java/maplespread/subset/ApertureTest.java
+++ b/src/test/java/maplespread/subset/ApertureTest.java
@@ -38,8 +38,9 @@
     }
 
     /**
-     * Every fourth dispatcher alone, as where zones are dealt out by index: with bit-reversed places all of them
-     * stood in one quarter of the ring (max over mean 4.1), and a zone's workers beside it were nobody's first.
+     * Every fourth dispatcher alone, as where zones are dealt out by index: with bit-reversed places all of
+     * them stood in one quarter of the ring (max over mean 4.1), and a zone's workers beside it were nobody's
+     * first.
      */
     @Test void aPartOfTheFleetSpreadsOverAllToo() {
         for (int zones : new int[] {2, 3, 4, 5, 8}) {
