--- a/src/main/java/maplespread/cli/Cli.java
+++ b/src/main/java/maplespread/cli/Cli.java
@@ -111,6 +111,10 @@
             }
             Operator o = OperatorReader.file(file);
             out.printf("log.form             %s%n", o.jsonLog() ? "json" : "text");
+            out.printf("subset               %s%n", o.subset() == null ? "off: all workers are used"
+                : (long) o.subset().sharers() + " dispatchers a worker, at least " + (long) o.subset().least()
+                    + " workers");
+            out.printf("shares.beyond        %s%n", o.fair() ? "give_way" : "as_any");
             RegistrySettings r = o.registry();
             if (r == null) {
                 out.println("registry             off: routes come from discovery");
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -9,6 +9,7 @@
 import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import maplespread.registry.RegistrySettings;
 import maplespread.subset.Cut;
 import org.junit.jupiter.api.Test;
@@ -27,8 +28,8 @@
     void defaultsAreThoseOfTheToolsAndAnEmptyFileTurnsNothingOn() throws Exception {
         Operator o = read(GOOD);
         assertTrue(o.jsonLog());
-        assertEquals(RegistrySettings.of(RegistrySettings.Dialect.ETCD, java.util.List.of("127.0.0.1:2379"),
-            java.util.List.of("/a/")), o.registry());
+        assertEquals(RegistrySettings.of(RegistrySettings.Dialect.ETCD, List.of("127.0.0.1:2379"),
+            List.of("/a/")), o.registry());
         assertNull(read("{}").registry());
         assertNull(read("{}").subset());
         assertTrue(read("{'shares':{'beyond':'give_way'}}").fair() && !read("{'shares':{}}").fair());
@@ -81,6 +82,13 @@
         for (String key : registry.keySet()) {
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
+        String fleet = Files.readString(Path.of("docs/operators/fleet.md"));
+        for (String part : List.of("subset", "shares")) {
+            for (String key : JsonParser.parseString(example).getAsJsonObject().getAsJsonObject(part).keySet()) {
+                assertTrue(fleet.contains("| `" + part + "." + key + "` |"), key);
+            }
+        }
+        assertEquals(OperatorReader.text("{\"subset\":{}}").subset(), o.subset(), "it shows the defaults");
         RegistrySettings r = o.registry();
         assertEquals(RegistrySettings.of(r.dialect(), r.endpoints(), r.follow()).toString(),
             r.toString().replace(r.tokenFile(), ""), "it shows the defaults");
