--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -815,8 +815,9 @@
         q.asked.clear();
         if (best != null) {
             send(q, seen == null ? best : seen);
-        } else if (allowed || now >= q.deadline - 2 * period || now - q.arrived >= q.spec.aimMs()) {
-            q.stop();
+        } else if (allowed || q.attempts.size() >= q.tries || now >= q.deadline - 2 * period
+            || q.spec.effect() == Effect.UNSAFE && !q.refusable() || now - q.arrived >= q.spec.aimMs()) {
+            q.stop();                                            // also where none can be legal any more
         } else {
             parked.add(q);                                       // no legal worker: a bounded wait
         }
@@ -828,8 +829,7 @@
     /**
      * Departure "look": where others push most of the load, own pushes do not mirror it, so a worker is
      * probed before it is chosen: the three cheapest by rule (25) at once, twice at most, and the rule
-     * decides on the answers. One that does not answer in an eighth of the aim rests: it may hang, be cut
-     * off, slow to connect or behind in its work. Could harm where probes are dear or few.
+     * decides on the answers. One that does not answer in an eighth of the aim rests, whatever its reason.
      */
     private boolean look(Req q, Worker best) {
         if (!allow.probing() || crowd < 8 || now - best.reportAt < aim / 8 || q.rounds >= ROUNDS) {
