--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -224,6 +224,8 @@
         synchronized (turn) {
             sharers = count;
             dispatcher.report(ours(config.settings()));
+            Logger.info("of {} dispatchers, {} share each worker of this one's subset",
+                config.settings().balancers(), count);
         }
     }
 
@@ -319,6 +321,13 @@
         return console.address();
     }
 
+    /**
+     * Among how many dispatchers, processes counted, the module shares out what a cold worker may be sent.
+     */
+    public int sharing() {
+        return dispatcher.sharing();
+    }
+
     /** The port that is listened on. */
     public int port() {
         return socket.getLocalPort();
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -253,6 +253,11 @@
         return hosts;
     }
 
+    /** Among how many nodes the module shares out what a cold worker may be sent. */
+    public int sharing() {
+        return settings.balancers();
+    }
+
     /** The addresses of all workers that are on the list. */
     public List<String> addresses() {
         lock.lock();
--- a/src/main/java/maplespread/lab/FleetMeasure.java
+++ b/src/main/java/maplespread/lab/FleetMeasure.java
@@ -117,6 +117,14 @@
             p.sharers = SHARERS;
             p.fair = true;
         });
+        ways.put("greedy, shares, faults", p -> {                // dispatchers paused, cut off and gone
+            greedy(p);
+            p.sharers = SHARERS;
+            p.fair = true;
+            p.pauses = true;
+            p.cuts = true;
+            p.goes = true;
+        });
         Map<String, Result> mean = new LinkedHashMap<>();
         ways.entrySet().parallelStream().forEach(e -> {
             Result r = mean(IntStream.rangeClosed(1, seeds).parallel()
@@ -139,8 +147,9 @@
         report.aim(size + "probes a worker a second", best.probes(), PROBES);
         report.aim(size + "cold workers' most work over what fells them",
             mean.get("subsets, faults").overshoot(), 1);
-        report.aim(size + "short of a share, of all served",
-            mean.get("subsets, greedy, shares").unfair(), UNFAIR);
+        for (String way : List.of("subsets, greedy, shares", "greedy, shares, faults")) {
+            report.aim(size + way + ", short of a share, of all served", mean.get(way).unfair(), UNFAIR);
+        }
     }
 
     /** Means over seeds, but the worst of what must never be. */
--- /dev/null
+++ b/src/test/java/maplespread/net/SubsetStoryTest.java
@@ -0,0 +1,91 @@
+package maplespread.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import maplespread.Server;
+import maplespread.config.Config;
+import maplespread.config.ConfigError;
+import maplespread.config.ConfigReader;
+import maplespread.config.Operator;
+import maplespread.subset.Cut;
+import org.junit.jupiter.api.Test;
+
+/** One dispatcher of ten over sockets: it uses its subset alone, and the module is told who shares it. */
+class SubsetStoryTest {
+    private static final Cut.Wish WISH = new Cut.Wish(3, 1);
+    private volatile int dispatchers = 10;
+    private Loopback.Peer discovery;
+    private final Loopback.Peer[] workers = new Loopback.Peer[12];
+
+    private String file() {
+        return Loopback.config(discovery.address(), workers)
+            .replace("\"balancers\":1,", "\"balancers\":" + dispatchers + ",");
+    }
+
+    private Cut expected() {
+        Cut cut = new Cut(0, dispatchers, WISH, 0);
+        for (Loopback.Peer w : workers) {
+            cut.put("s-" + w.socket.getLocalPort(), 0);
+        }
+        return cut;
+    }
+
+    @Test void jobsStayInTheSubsetAndTheModuleKnowsWhoSharesIt() throws Exception {
+        for (int i = 0; i < workers.length; i++) {
+            workers[i] = new Loopback.Peer(call -> {
+                call.open();
+                call.done("x");
+            });
+        }
+        Loopback here = new Loopback(workers);
+        here.server.stop();                                      // another one takes its place
+        discovery = here.discovery;
+        Operator operator = new Operator(false, null, WISH, false);
+        Server server = new Server(ConfigReader.read(file(), Map.of()), operator, new Server.Source() {
+            @Override public Config read() throws ConfigError {
+                return ConfigReader.read(file(), Map.of());
+            }
+
+            @Override public Operator operator() {
+                return operator;
+            }
+        });
+        here.server = server;
+        server.start();
+        try (Loopback.Client client = here.new Client()) {
+            Set<String> mine = expected().workers();
+            assertTrue(mine.size() < workers.length, "a subset: " + mine);
+            assertEquals(sharers(), server.sharing());
+            Set<String> used = new HashSet<>();
+            for (int i = 0; i < 30; i++) {
+                assertEquals(200, client.status(Loopback.job("page", "t" + i, 4000)));
+            }
+            for (Loopback.Peer w : workers) {
+                if (!w.calls.isEmpty()) {
+                    used.add("s-" + w.socket.getLocalPort());
+                }
+            }
+            assertTrue(mine.containsAll(used), used + " of " + mine);
+            dispatchers = 3;                                     // fewer: wider, and shared by others
+            int wanted = sharers();
+            assertTrue(wanted < server.sharing(), "the case must show a change");
+            server.reload();
+            Loopback.until("shared by " + wanted, () -> server.sharing() == wanted);
+        } finally {
+            here.close();
+            for (Loopback.Peer w : workers) {
+                w.close();
+            }
+        }
+    }
+
+    private int sharers() {
+        Cut cut = expected();
+        cut.workers();
+        return cut.sharers();
+    }
+}
