Shares go by all dispatchers, not by those that meet at a subset's worker

Cause, found by reading the change again: Dispatcher.counts took balancers from the module's settings, which with subsets on name the few that share a worker, so each dispatcher filled its buckets for far too large a part of an allowance. The virtual fleet passes the true count, so no figure showed it. Now by the transaction's own settings, as the platform told them. DispatcherTest fails without it (counts 1.0, under 0.1 wanted).

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -616,7 +616,7 @@
         meanX = offers == 1 ? q.x : meanX + step * (q.x - meanX);
         meanWorth = offers == 1 ? worth : meanWorth + step * (worth - meanWorth);
         q.weight = clamp(worth / Math.max(meanWorth, 1e-9), 0.05, 50) * q.counts;
-        if (offers > 1 && q.deadline - now < q.spec.deadlineMs() - aim / 8) {
+        if (offers > 1 && !set.firstTry(q.cls, q.deadline - now)) {
             return;                                              // a client's later try: offered before
         }
         rate = (Double.isNaN(rateAt) ? 0 : rate * Math.exp((rateAt - now) / horizon)) + 1 / horizon;
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -271,13 +271,15 @@
     // ------------------------------------------------------------ under the lock
 
     /** What the request counts for, under its tenant's share. */
-    private double counts(Transaction t) {
+    double counts(Transaction t) {
         if (shares == null) {
             return 1;
         }
+        // By the transaction's own settings: the module's count is of those that share this one's workers,
+        // while a tenant's traffic is spread over all dispatchers.
+        Dispatch.Settings told = t.under == null ? settings : t.under;
         double leftMs = (t.deadlineUs - nowUs()) / 1000.0;
-        return shares.of(nowUs() / 1000.0, t.id, t.tenant, settings.firstTry(t.cls, leftMs),
-            settings.balancers());
+        return shares.of(nowUs() / 1000.0, t.id, t.tenant, told.firstTry(t.cls, leftMs), told.balancers());
     }
 
     private void locked(Runnable work) {
--- a/src/main/java/maplespread/lab/FleetMeasure.java
+++ b/src/main/java/maplespread/lab/FleetMeasure.java
@@ -83,15 +83,6 @@
         return p;
     }
 
-    private static void broken(Plan p) {
-        p.cold = 0.25;
-        p.slow = 0.25;
-        p.pauses = true;
-        p.cuts = true;
-        p.goes = true;
-        p.churn = 0.01;
-    }
-
     private static void greedy(Plan p) {
         p.greedy = 2.5;
         p.seconds = 31;
@@ -103,9 +94,9 @@
         ways.put("least reported load", p -> p.naive = true);
         ways.put("all workers", p -> { });
         ways.put("subsets", p -> p.sharers = SHARERS);
-        ways.put("all, faults", FleetMeasure::broken);
+        ways.put("all, faults", Plan::broken);
         ways.put("subsets, faults", p -> {
-            broken(p);
+            p.broken();
             p.sharers = SHARERS;
         });
         ways.put("subsets, greedy", p -> {
--- a/src/main/java/maplespread/lab/fleet/VirtualFleet.java
+++ b/src/main/java/maplespread/lab/fleet/VirtualFleet.java
@@ -41,6 +41,16 @@
         public double greedy = 1;                                // what the first tenant asks, over its share
         public boolean oracle;                                   // one node, no delay, fresh figures
 
+        /** Workers restart cold, run slow and are replaced; dispatchers stand still, are cut off and go. */
+        public void broken() {
+            cold = 0.25;
+            slow = 0.25;
+            pauses = true;
+            cuts = true;
+            goes = true;
+            churn = 0.01;
+        }
+
         /** So many of both, nothing broken, all parts off. */
         public static Plan of(int dispatchers, int workers) {
             Plan p = new Plan();
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -31,6 +31,28 @@
         return new Transaction(cls, 0, d.nowUs() + Math.round(waitMs * 1000), 100, 1, 0, null);
     }
 
+    /**
+     * With subsets the module's count is of those that meet at a worker; allowances are for all there are.
+     */
+    @Test public void sharesGoByAllDispatchersAndNotByThoseOfASubset() throws Exception {
+        Config c = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
+        var told = c.settings().among(10_000);
+        Dispatcher d = new Dispatcher(told.among(1), 7, true);
+        double whole = told.classes().get(0).deadlineMs();
+        Transaction[] jobs = new Transaction[20];
+        for (int i = 0; i < jobs.length; i++) {                  // no worker: turned away, those within too
+            double waitMs = i == 0 ? 30 : whole + 500;
+            jobs[i] = new Transaction(0, 0, d.nowUs() + Math.round(waitMs * 1000), 100, 1, 0, null,
+                i == 0 ? told.among(1) : told);
+        }
+        d.pick(jobs[0]);
+        double least = 1;
+        for (Transaction t : jobs) {
+            least = Math.min(least, d.counts(t));
+        }
+        assertTrue("twenty at once are beyond a ten-thousandth, but count " + least, least < 0.1);
+    }
+
     /** Guards drains told between the pick and the send. */
     @Test public void aDrainToldAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
--- a/src/test/java/maplespread/lab/fleet/FleetPlayTest.java
+++ b/src/test/java/maplespread/lab/fleet/FleetPlayTest.java
@@ -20,15 +20,6 @@
         return r;
     }
 
-    private static void broken(Plan p) {
-        p.cold = 0.25;
-        p.slow = 0.25;
-        p.pauses = true;
-        p.cuts = true;
-        p.goes = true;
-        p.churn = 0.01;
-    }
-
     @Test void subsetsServeMoreAndProbeLess() {
         for (long seed = 1; seed <= 2; seed++) {
             Result all = play(40, 100, seed, p -> { });
@@ -42,9 +33,9 @@
     }
 
     @Test void faultsCostLessAndNoColdWorkerFalls() {
-        Result all = play(20, 50, 1, FleetPlayTest::broken);
+        Result all = play(20, 50, 1, Plan::broken);
         Result some = play(20, 50, 1, p -> {
-            broken(p);
+            p.broken();
             p.sharers = 5;
         });
         assertTrue(some.worth() > all.worth(), some + " against " + all);
@@ -79,6 +70,6 @@
     }
 
     @Test void theSameSeedPlaysTheSame() {
-        assertEquals(play(5, 20, 9, FleetPlayTest::broken), play(5, 20, 9, FleetPlayTest::broken));
+        assertEquals(play(5, 20, 9, Plan::broken), play(5, 20, 9, Plan::broken));
     }
 }
