A silent watch is begun anew at once, and pushed lists are watched from the first moment

Where the settings say that lists are pushed nobody asked for a watch at all: the module asks only where discovery is 'ask', so such a process would have served from its start's list for ever (found by reading). A list indented over several lines broke the watch as malformed.

Change: ListClock, derived from the protocol's figures: silent for 2.8 to 3.2 s is broken (a line is due every 2 s; drawn, as all fall silent in one instant), and two calls of 1.3 s each follow at once, 5.8 s at worst. Only then the module hears of it. Pushed: watched from the start, before it serves, and every 100 ms while the agent is out. Objects may span lines.

Measured: ListClockTest, four stories; without the renewal the second call never comes, without the agent's watch the third call never comes.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -138,14 +138,14 @@
         RouteReader reader = new RouteReader(config.names().zones(), config.names().kinds());
         if (from == null) {
             return sink -> new RouteSet(now.discovery(), reader, config.known().generation(),
-                config.times().watchSilenceMs(), sink);
+                config.times().list(), !config.settings().ask(), config.seed(), sink);
         }
         return sink -> new RegistrySource(from, reader, config.settings().balancers(), config.seed(), sink);
     }
 
     /**
      * Opens the listener and serves from the list last known. Where another process of this dispatcher is to
-     * be relieved, not before it has the list anew, or has waited a while: until then the other one serves.
+     * be relieved, or the list is pushed, not before it has the list anew, or has waited a while.
      */
     public void start() throws IOException {
         sink.news(config.known());
@@ -158,7 +158,9 @@
         parts.forEach(Thread::start);
         routes.start();
         try {
-            if (shared && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
+            // What an agent holds counts from a process's first moment on.
+            boolean wanted = shared || registry == null && !config.settings().ask();
+            if (wanted && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
                 Logger.warn("no list within {} ms: serves from the one last known", LIST_MS);
             }
         } catch (InterruptedException e) {
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
+import maplespread.routes.ListClock;
 
 /**
  * All that a dispatcher is told, read and checked by {@link ConfigReader}. {@code console}: where the
@@ -110,6 +111,6 @@
      * are still accepted, and open ones still served; {@code endMs}: when all must be answered and over.
      */
     public record Times(long dialMs, long firstByteMs, long probeMs, long linkIdleMs, long legIdleMs,
-                        long legReadMs, long watchSilenceMs, long longestMs, long acceptMs, long holdMs,
+                        long legReadMs, ListClock list, long longestMs, long acceptMs, long holdMs,
                         long endMs) { }
 }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -17,6 +17,7 @@
 import java.util.TreeSet;
 import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
+import maplespread.routes.ListClock;
 import maplespread.routes.RouteReader;
 
 /** The one place where the configuration is read, checked and given defaults. */
@@ -138,8 +139,8 @@
         double longest = set.classes().stream().mapToDouble(Dispatch.ClassSpec::deadlineMs).max().orElse(0);
         double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
         long dial = Math.max(1, Math.round(set.permissions().dialTimeoutMs()));
-        return new Config.Times(dial, Math.max(500, 2 * dial), 1000, (long) idle, 60_000, 2_500, 5_000,
-            (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
+        return new Config.Times(dial, Math.max(500, 2 * dial), 1000, (long) idle, 60_000, 2_500,
+            ListClock.ofProtocol(), (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
     }
 
     // ------------------------------------------------------------ settings
--- /dev/null
+++ b/src/main/java/maplespread/routes/ObjectLines.java
@@ -0,0 +1,38 @@
+package maplespread.routes;
+
+/** Puts lines together to JSON objects: one may stand on a line of its own, or be indented over many. */
+final class ObjectLines {
+    private static final int LONGEST = 1 << 22;
+    private final StringBuilder text = new StringBuilder();
+    private int depth;
+    private boolean quoted;
+
+    /** The object that this line ends; null where it ends none, as an empty line between two does not. */
+    String add(String line) throws RouteReader.Malformed {
+        if (depth == 0 && !line.isEmpty() && line.charAt(0) != '{') {
+            throw new RouteReader.Malformed("not a JSON object");
+        }
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            if (quoted && c == '\\') {
+                i++;
+            } else if (c == '"') {
+                quoted = !quoted;
+            } else if (!quoted && (c == '{' || c == '[')) {
+                depth++;
+            } else if (!quoted && (c == '}' || c == ']')) {
+                depth--;
+            }
+        }
+        if (text.length() + line.length() > LONGEST) {
+            throw new RouteReader.Malformed("longer than " + LONGEST);
+        }
+        text.append(line);
+        if (depth > 0 || text.length() == 0) {
+            return null;
+        }
+        String whole = text.toString();
+        text.setLength(0);
+        return whole;
+    }
+}
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.SplittableRandom;
 import maplespread.facade.RouteNews;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
@@ -12,32 +14,44 @@
 import org.tinylog.Logger;
 
 /**
- * Follows discovery's list, each address of discovery on a thread of its own. When to subscribe is the
- * module's word; each watch that ends is reported, and the module asks again after its jittered back-off. A
- * new address is watched at once: until it has spoken, the last list holds and the old watch is still obeyed.
+ * Follows discovery's list, each address of discovery on a thread of its own. Where the list is asked for, when
+ * to subscribe is the module's word; each watch that ends is reported, and the module asks again after its
+ * jittered back-off. One that falls silent is begun anew at once, by {@link ListClock}. Where the list is
+ * pushed, what the agent holds counts whether or not it was asked: it is asked from the start on, and again
+ * and again while it is out. A new address is watched at once: until it has spoken, the last list holds and
+ * the old watch is still obeyed.
  */
 public final class RouteSet implements RouteSource {
     private static final int LONGEST_LINE = 1 << 20;
     private static final long STACK = 144 * 1024;
-    private final long silenceMs;
+    private static final long DIAL_MS = 2500;
+    private static final long AGENT_AGAIN_MS = 100;              // pushed: between two calls while it is out
+    private final ListClock clock;
+    private final boolean pushed;
+    private final SplittableRandom random;
     private final Seldom seldom = new Seldom();
     private final RouteSink to;
     private final RouteReader reader;
     private Source newest;                                       // the address that is asked
     private Source spoken;                                       // the last one that has said anything
 
-    /** {@code generation}: of the list held; {@code silenceMs}: how long a live watch may be silent. */
-    public RouteSet(InetSocketAddress address, RouteReader reader, long generation, long silenceMs,
-            RouteSink to) {
+    /** {@code generation}: of the list held; {@code pushed}: it comes from an agent that pushes it. */
+    public RouteSet(InetSocketAddress address, RouteReader reader, long generation, ListClock clock,
+            boolean pushed, long seed, RouteSink to) {
         this.reader = reader;
-        this.silenceMs = silenceMs;
+        this.clock = clock;
+        this.pushed = pushed;
         this.to = to;
+        random = new SplittableRandom(seed);
         newest = new Source(address, generation);
         spoken = newest;
     }
 
-    /** Begins; the first watch is the module's word. */
+    /** Begins; the first watch is the module's word, unless the list is pushed. */
     @Override public synchronized void start() {
+        if (pushed) {
+            newest.watch();
+        }
         newest.begin();
     }
 
@@ -71,6 +85,10 @@
         spoken.close();
     }
 
+    private synchronized void watchAgain(Source source) {
+        source.watch();
+    }
+
     /** Takes a line's news, unless a newer address has spoken since. */
     private synchronized void news(Source from, RouteNews news) {
         if (from.over) {
@@ -89,7 +107,8 @@
     private final class Source implements Runnable {
         final InetSocketAddress address;
         long generation;
-        boolean heard;                                           // of the watch that is on
+        boolean heard;                                           // news of the watch that is on
+        boolean spoke;                                           // a line of it; its own thread's
         boolean wanted;
         boolean following;
         boolean over;
@@ -122,17 +141,14 @@
         @Override public void run() {
             try {
                 while (awaitWanted()) {
-                    String end = "the watch ended";
-                    try {
-                        follow();
-                    } catch (IOException e) {
-                        end = "the watch broke: " + e.getMessage();
-                    } catch (RuntimeException | Error e) {       // without this thread drains would go unseen
-                        Logger.error(e, "the watch failed");
-                    }
+                    String end = watched();
                     if (ended()) {
                         seldom.warn(address + ": " + end);
                         to.watchLost();
+                        if (pushed) {
+                            Thread.sleep(AGENT_AGAIN_MS);
+                            RouteSet.this.watchAgain(this);
+                        }
                     }
                 }
             } catch (InterruptedException e) {
@@ -140,6 +156,31 @@
             }
         }
 
+        /** One watch, and those that take its place where one falls silent; returns why there is none. */
+        private String watched() {
+            long wait = pushed ? clock.renewMs() : clock.callMs();
+            for (int renewals = 0;; renewals++) {
+                spoke = false;
+                try {
+                    follow(wait);
+                    return "the watch ended";
+                } catch (SocketTimeoutException e) {
+                    if (!spoke && renewals != 1) {
+                        return "no word within " + wait + " ms";
+                    }
+                    renewals = spoke ? 0 : renewals;
+                    wait = clock.renewMs();
+                    seldom.warn(address + (spoke ? ": the watch fell silent" : ": no word of the watch that "
+                        + "was to follow a silent one") + "; it is begun anew");
+                } catch (IOException e) {
+                    return "the watch broke: " + e.getMessage();
+                } catch (RuntimeException | Error e) {           // without this thread drains would go unseen
+                    Logger.error(e, "the watch failed");
+                    return "the watch failed";
+                }
+            }
+        }
+
         private boolean awaitWanted() throws InterruptedException {
             synchronized (RouteSet.this) {
                 while (!wanted && !over) {
@@ -162,11 +203,12 @@
         }
 
         /**
-         * One watch, until it ends. Discovery sends a line every two seconds; a longer silence means that it
-         * or the way to it is gone without a word, while drains go on unseen.
+         * One watch, until it ends; a {@link SocketTimeoutException} where it says nothing for too long.
+         * Discovery sends a line every two seconds; a longer silence means that it or the way to it is gone
+         * without a word, while drains go on unseen.
          */
-        private void follow() throws IOException {
-            try (HttpConnection link = HttpConnection.dial(address, silenceMs / 2)) {
+        private void follow(long firstMs) throws IOException {
+            try (HttpConnection link = HttpConnection.dial(address, Math.min(firstMs, DIAL_MS))) {
                 long since;
                 synchronized (RouteSet.this) {
                     current = link;
@@ -177,25 +219,31 @@
                 }
                 String host = address.getHostString() + ':' + address.getPort();
                 link.send(HttpWriter.request("GET", "/v1/endpoints?follow=1&since=" + since, host).bytes());
-                HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE, this::line));
+                ObjectLines objects = new ObjectLines();
+                HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE,
+                    text -> line(objects, text)));
+                long silence = clock.silence(random);
+                long firstBy = System.nanoTime() + firstMs * 1_000_000;
                 while (!parser.feed(link.buffer())) {
                     if (parser.headDone() && parser.head().status() != 200) {
                         throw new IOException("discovery answered " + parser.head().status());
                     }
-                    if (!link.fill(silenceMs)) {
+                    if (!link.fill(spoke ? silence : (firstBy - System.nanoTime()) / 1_000_000)) {
                         return;
                     }
                 }
             }
         }
 
-        private void line(String text) throws HttpError {
-            if (text.isEmpty()) {
-                return;
-            }
+        private void line(ObjectLines objects, String text) throws HttpError {
+            spoke = true;
             RouteNews news;
             try {
-                news = reader.read(text);
+                String object = objects.add(text);
+                if (object == null) {
+                    return;
+                }
+                news = reader.read(object);
             } catch (RouteReader.Malformed e) {
                 throw new HttpError(502, "malformed line: " + e.getMessage());
             }
--- /dev/null
+++ b/src/test/java/maplespread/net/ListClockTest.java
@@ -0,0 +1,110 @@
+package maplespread.net;
+
+import static maplespread.net.Loopback.list;
+import static maplespread.net.Loopback.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import maplespread.facade.RouteNews;
+import maplespread.net.Loopback.Call;
+import maplespread.net.Loopback.Peer;
+import maplespread.routes.ListClock;
+import maplespread.routes.RouteReader;
+import maplespread.routes.RouteSet;
+import maplespread.routes.RouteSink;
+import org.junit.jupiter.api.Test;
+
+/** One clock for discovery's list: silence is a break, and what the agent holds counts at once. */
+class ListClockTest {
+    private static final Loopback.Script MUTE = call -> { };
+    private final List<RouteNews> news = new CopyOnWriteArrayList<>();
+    private final AtomicInteger lost = new AtomicInteger();
+
+    private RouteSet routes(Peer discovery, boolean pushed) {
+        return new RouteSet(new InetSocketAddress("127.0.0.1", discovery.socket.getLocalPort()),
+            new RouteReader(List.of("a"), List.of("m")), 1, new ListClock(60, 10, 200, 400), pushed, 7,
+            new RouteSink() {
+                @Override public void news(RouteNews told) {
+                    news.add(told);
+                }
+
+                @Override public void watchLost() {
+                    lost.incrementAndGet();
+                }
+            });
+    }
+
+    private static String indented(String json) {
+        return new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(json));
+    }
+
+    /** Asked once only: all later watches are the route set's own, and the module hears of none of them. */
+    @Test void aSilentWatchIsBegunAnewAndSoIsItsMuteSuccessor() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Peer discovery = new Peer(call -> {
+            int n = calls.getAndIncrement();
+            if (n == 0) {
+                call.open();
+                call.line(list(4, false, "SERVING"));
+            } else if (n == 2) {
+                call.open();
+                call.line("");                                   // a sign of life between objects
+                call.line(indented(list(5, false, "DRAINING")));
+            }
+        }); RouteSet routes = routes(discovery, false)) {
+            routes.start();
+            routes.watch();
+            for (int since : new int[] {1, 4, 4, 5, 5}) {        // the last two say nothing
+                assertEquals("/v1/endpoints?follow=1&since=" + since, discovery.next().head.target());
+            }
+            until("the module is told", () -> lost.get() == 1);
+            assertEquals(2, news.size());
+            assertNull(discovery.calls.poll());
+        }
+    }
+
+    /** Nobody asks for it, and an outage of the agent is not waited out by any back-off of the module. */
+    @Test void aPushedListIsWatchedFromTheStartAndAfterAnOutage() throws Exception {
+        try (Peer discovery = new Peer(MUTE); RouteSet routes = routes(discovery, true)) {
+            discovery.script = call -> call.link.close();
+            routes.start();
+            for (int i = 0; i < 3; i++) {
+                discovery.next();
+            }
+            discovery.script = call -> {
+                call.open();
+                call.line(indented(list(2, true, "SERVING")));
+            };
+            until("the list", () -> !news.isEmpty());
+            assertEquals(RouteNews.Kind.WHOLE, news.get(0).kind());
+        }
+    }
+
+    /** Before its first word a process whose list is pushed is not ready: it would use what is known drained. */
+    @Test void aStartWaitsForWhatTheAgentHolds() throws Exception {
+        try (Peer worker = new Peer(MUTE);
+             Loopback here = new Loopback(Loopback.Site.OUTLET, call -> {
+                 call.open();
+                 call.line(list(2, false, "DRAINING", worker));
+             }, c -> c, text -> text.replace("\"ask\"", "\"push\""), worker);
+             Loopback.Client client = here.new Client()) {
+            Call ready = client.send("GET /ready HTTP/1.1\r\nHost: t\r\n\r\n").answer();
+            assertEquals(503, ready.head.status());
+            assertNull(worker.calls.poll());
+        }
+    }
+
+    @Test void theProtocolsClockLeavesTimeForTwoCalls() {
+        ListClock clock = ListClock.ofProtocol();
+        assertTrue(clock.silenceMs() > 2000, "a line is due every 2 s");
+        assertTrue(clock.silenceMs() + clock.spreadMs() + 2 * clock.renewMs() <= 6000);
+        assertTrue(clock.renewMs() >= 1000, "discovery answers a hundred callers one after another");
+    }
+}
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -215,8 +215,14 @@
     }
 
     Loopback(Site site, Script asked, UnaryOperator<Config> change, Peer... workers) throws Exception {
+        this(site, asked, change, text -> text, workers);
+    }
+
+    /** {@code told}: changes the text of the platform's file. */
+    Loopback(Site site, Script asked, UnaryOperator<Config> change, UnaryOperator<String> told,
+            Peer... workers) throws Exception {
         discovery = new Peer(asked);
-        file = config(site, discovery.address(), workers);
+        file = told.apply(config(site, discovery.address(), workers));
         server = new Server(change.apply(ConfigReader.read(file, Map.of())),
             () -> {
                 beforeReading.run();
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -23,6 +23,7 @@
 import maplespread.net.Loopback.Call;
 import maplespread.net.Loopback.Client;
 import maplespread.net.Loopback.Peer;
+import maplespread.routes.ListClock;
 import org.junit.Test;
 
 /** Whole dispatchers over loopback: one story for each failure met or guarded against. */
@@ -500,7 +501,8 @@
 
     private static Config timed(Config c, long legReadMs, long silenceMs, long holdMs, long endMs) {
         return new Config(c.name(), c.listen(), c.console(), null, c.discovery(), c.seed(), c.settings(),
-            c.names(), c.sizes(), new Config.Times(250, 500, 1000, 9000, 9000, legReadMs, silenceMs, 5000,
+            c.names(), c.sizes(), new Config.Times(250, 500, 1000, 9000, 9000, legReadMs,
+                new ListClock(silenceMs, silenceMs / 7, silenceMs / 2, 2 * silenceMs), 5000,
                 50, holdMs, endMs), c.known(), c.keys());
     }
 }
