etcd's watch and Consul's question keep one clock; settings that cannot are named

A watch on etcd was given up after 10 s of silence and a lost question of Consul after 63 s; what followed added up to 23.4 s and 72 s in the worst case with two endpoints. A watch that opened and then said nothing counted as heard, so drains went unseen for good.

Silence is now counted by part and by whole lines. What was missed is read in one call before the next watch, so a member whose watches are mute is followed all the same. Times are derived: silence, dial, answers and a lost try at each other endpoint stay below 6 s, or 2 s beyond a wait; the reader names the key that breaks this. Endpoints that failed longest ago come first: two dead ones took turns before, and a third was not reached.

--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -58,16 +58,33 @@
                 throw in.error("follow", inOrder.get(i) + " lies within " + inOrder.get(i - 1));
             }
         }
-        return new RegistrySettings(dialect, endpoints, follow, in.string("token_file", ""),
+        long dial = in.whole("dial_ms", RegistrySettings.DIAL_MS, 1, 60_000);
+        long silence = in.whole("silence_ms", RegistrySettings.SILENCE_MS, 10, 3_600_000);
+        long wait = in.whole("wait_ms", RegistrySettings.waitFor(endpoints.size()), 100, 600_000);
+        long answer = in.whole("answer_ms", RegistrySettings.answerFor(dialect, endpoints.size(), dial,
+            silence, wait), 10, 600_000);
+        RegistrySettings settings = new RegistrySettings(dialect, endpoints, follow,
+            in.string("token_file", ""),
             (int) in.whole("page", 1000, 1, 100_000),
             (int) in.whole("requests_per_s", 2000, 1, 1_000_000),
-            in.whole("dial_ms", 500, 1, 60_000),
-            in.whole("answer_ms", 3000, 10, 600_000),
-            in.whole("silence_ms", 10_000, 10, 3_600_000),
-            in.whole("wait_ms", 60_000, 100, 600_000),
+            dial, answer, silence, wait,
             in.whole("prefer_again_ms", 30_000, 100, 86_400_000),
             in.whole("restore_after_ms", 3000, 0, 3_600_000),
             in.whole("forget_after_ms", 15_000, 0, 3_600_000),
             in.whole("not_ready_after_ms", 60_000, 0, 86_400_000));
+        String late = settings.tooLate();
+        if (late != null) {
+            throw in.error(late, late.equals("requests_per_s")
+                ? "less than one request in answer_ms (" + answer + ")"
+                : "after a silence the new word may take " + settings.worstMs() + " ms with dial_ms " + dial
+                    + ", answer_ms " + answer + (dialect == Dialect.ETCD ? ", silence_ms " + silence
+                    : ", wait_ms " + wait) + " and " + endpoints.size() + " endpoints; at most "
+                    + settings.clockMs() + " are allowed");
+        }
+        if (settings.notReadyAfterMs() > 0 && settings.notReadyAfterMs() < settings.clockMs()) {
+            throw in.error("not_ready_after_ms", "must be 0 or at least " + settings.clockMs()
+                + ", within which a sound registry may rightly be silent");
+        }
+        return settings;
     }
 }
--- a/src/main/java/maplespread/lab/registry/Faults.java
+++ b/src/main/java/maplespread/lab/registry/Faults.java
@@ -17,6 +17,13 @@
     public volatile boolean wrongType;
     /** Accepts and never answers. */
     public volatile boolean silent;
+    /**
+     * By place in the stream (a bit each, from 1): watches that are on and say nothing. For Consul any of
+     * them: a question that waits never returns.
+     */
+    public volatile int muted;
+    /** Lines of watches come byte by byte, and never whole. */
+    public volatile boolean trickle;
     /** Milliseconds between the halves of what is written. */
     public volatile int slowMs;
     /** By how many revisions the member lies behind the store; a real etcd would wait before such a range. */
--- a/src/main/java/maplespread/lab/registry/StandInRegistry.java
+++ b/src/main/java/maplespread/lab/registry/StandInRegistry.java
@@ -296,6 +296,8 @@
             out.addProperty("count", Integer.toString(found.size()));
             return;
         }
+        long least = number(in, "min_mod_revision");
+        found = found.stream().filter(v -> v.mod() >= least).toList();
         JsonArray kvs = new JsonArray();
         for (int i = 0; i < found.size() && i < limit; i++) {
             kvs.add(kv(found.get(i)));
@@ -400,24 +402,36 @@
             }
             synchronized (store) {
                 long seen = now();
-                if (watches.stream().allMatch(w -> w.next > seen)) {
+                if (watches.stream().allMatch(w -> w.next > seen || muted(w))) {
                     store.wait(Math.min(100, progressMs));
                 }
             }
             store.expire(clock());
-            if (clock() - saidAt >= progressMs && watches.stream().allMatch(w -> w.next > now())) {
-                line(link, result(watches.get(0), watches.get(0).next - 1));
+            if (clock() - saidAt >= progressMs
+                    && watches.stream().allMatch(w -> w.next > now() || muted(w))) {
+                for (Watch w : watches) {
+                    if (!muted(w)) {
+                        line(link, result(w, w.next - 1));
+                    }
+                }
                 saidAt = clock();
             }
         }
         link.send("0\r\n\r\n".getBytes());
     }
 
+    private boolean muted(Watch w) {
+        return (faults.muted >> w.id & 1) != 0;
+    }
+
     /** Sends what the watch has not had yet; false where there was nothing. */
     private boolean advance(HttpConnection link, Watch w, List<Watch> watches) throws Exception {
         List<Store.Version> events = new ArrayList<>();
         long upTo;
         JsonObject canceled = null;
+        if (muted(w)) {
+            return false;
+        }
         synchronized (store) {
             upTo = now();
             if (w.next > upTo) {
@@ -482,6 +496,10 @@
         chunk.write((Integer.toHexString(text.length) + "\r\n").getBytes());
         chunk.write(text);
         chunk.write("\r\n".getBytes());
+        while (faults.trickle && result.has("events")) {
+            link.send("1\r\n \r\n".getBytes());
+            Thread.sleep(50);
+        }
         write(link, chunk.toByteArray());
     }
 
@@ -586,6 +604,9 @@
             index = at > 0 ? Math.min(index, at) : index;
             found = store.range(prefix, prefix + '\uffff', at, Long.MAX_VALUE);
         }
+        if (faults.muted != 0 && !query.getOrDefault("index", "0").equals("0")) {
+            hang(link);
+        }
         StringBuilder all = new StringBuilder(found.size() * 300 + 2).append('[');
         for (Store.Version v : found) {
             all.append(all.length() > 1 ? "," : "").append(keys ? pair(v) : health(v).toString());
--- a/src/main/java/maplespread/lab/registry/VirtualRegistry.java
+++ b/src/main/java/maplespread/lab/registry/VirtualRegistry.java
@@ -21,6 +21,12 @@
         public boolean down;
         /** Accepts and never answers. */
         public boolean silent;
+        /** By part (a bit each): watches that are on say nothing, and questions that wait never return. */
+        public int muted;
+        /** Whether a watch is told now and then that nothing has changed. */
+        public boolean notices = true;
+        /** How long an answer takes. */
+        public long slowMs;
         /** Answers with errors only. */
         public boolean errors;
         /** Refuses the token. */
@@ -64,7 +70,9 @@
         private Ask.Watch watch;
         private Ask.Question question;
         private long[] next;
-        private long endsAt;
+        private long asked;
+        private Ask single;                                      // a call whose answer is on its way
+        private long answerAt;
         private Member linked;                                   // to whom a connection is kept
         private boolean stale;                                   // it has ended and nobody has noticed
 
@@ -100,39 +108,47 @@
                 deliver(now, true);
             }
             stale = true;
-            if (open()) {
+            if (open() || single != null) {
                 over(now, End.BROKEN);
             }
         }
 
         /** Does one thing; when to be called again at the latest. */
         public long step(long now) {
-            if (open()) {
+            if (open() || single != null) {
                 if (member.down) {
                     over(now, End.BROKEN);
                     return now;
                 }
-                if (now >= endsAt) {
-                    over(now, watch != null ? watch.cutAtMs() <= now ? End.STOPPED : End.SILENT
-                        : question.index() > 0 && !member.silent ? ask(now) : End.SILENT);
-                    return now;
-                }
-                if (!member.silent) {
-                    if (watch != null) {
-                        deliver(now, false);
-                    } else if (question.index() != member.store.index(prefix(question.part()))) {
-                        over(now, ask(now));
+                if (watch != null && now >= watch.cutAtMs()) {
+                    over(now, End.STOPPED);
+                } else if (now >= core.quietAt()) {
+                    over(now, End.SILENT);
+                } else if (single != null) {
+                    if (!member.silent && now >= answerAt) {
+                        answer(now);
                     }
+                } else if (watch != null && !member.silent) {
+                    deliver(now, false);
+                } else if (question != null && !member.silent && (member.muted >> question.part() & 1) == 0
+                        && (now >= asked + question.waitMs()
+                        || question.index() != member.store.index(prefix(question.part())))) {
+                    over(now, ask(now));
+                }
+                if (single != null && !member.silent) {
+                    return Math.min(answerAt, core.quietAt());
                 }
-                return open() ? endsAt : now;
+                return question != null && !member.silent && member.muted == 0 ? asked + question.waitMs()
+                    : watch != null ? Math.min(core.quietAt(), watch.cutAtMs())
+                    : open() || single != null ? core.quietAt() : now;
             }
             Ask ask = core.next(now);
             if (ask instanceof Ask.Pause pause) {
                 return pause.untilMs();
             }
             int endpoint = ask instanceof Ask.Range r ? r.endpoint()
-                : ask instanceof Ask.Check c ? c.endpoint() : ask instanceof Ask.Watch w ? w.endpoint()
-                : ((Ask.Question) ask).endpoint();
+                : ask instanceof Ask.Check c ? c.endpoint() : ask instanceof Ask.Missed m ? m.endpoint()
+                : ask instanceof Ask.Watch w ? w.endpoint() : ((Ask.Question) ask).endpoint();
             member = members.get(endpoint);
             if (member.down) {
                 core.ended(now, End.REFUSED);
@@ -146,26 +162,32 @@
                 return now;
             }
             requests++;
-            if (member.silent) {
-                core.ended(now + settings.answerMs(), End.SILENT);
-                return now + settings.answerMs();
+            asked = now;
+            single = ask;
+            answerAt = now + member.slowMs;
+            if (answerAt == now && !member.silent) {
+                answer(now);
             }
+            return now;
+        }
+
+        private void answer(long now) {
+            Ask ask = single;
+            single = null;
             if (member.errors || member.denies) {
                 core.ended(now, member.errors ? End.ERROR : End.DENIED);
-                return now;
+                return;
             }
             if (ask instanceof Ask.Watch w) {
                 begin(now, w);
             } else if (ask instanceof Ask.Question q) {
                 question = q;
-                endsAt = now + q.waitMs();
                 if (q.index() == 0) {
                     over(now, ask(now));
                 }
             } else {
                 core.ended(now, single(now, ask));
             }
-            return now;
         }
 
         private String prefix(int part) {
@@ -177,6 +199,7 @@
             linked = how == End.BROKEN ? null : linked;
             watch = null;
             question = null;
+            single = null;
             core.ended(now, how);
         }
 
@@ -194,6 +217,18 @@
                     return core.checked(now, member.history(), counts, found, c.gone() != null
                         && one(c.gone(), c.goneAt()) != null) ? End.DONE : End.STOPPED;
                 }
+                if (ask instanceof Ask.Missed m) {
+                    List<Long> counts = new ArrayList<>();
+                    List<List<Item>> changed = new ArrayList<>();
+                    for (int i = 0; i < m.held().size(); i++) {
+                        long since = m.held().get(i);
+                        List<Store.Version> all = range(prefix(i), prefix(i) + '\uffff', member.now());
+                        counts.add((long) all.size());
+                        changed.add(all.stream().filter(v -> v.mod() > since).map(VirtualRegistry::item)
+                            .toList());
+                    }
+                    return core.missed(now, member.history(), counts, changed) ? End.DONE : End.STOPPED;
+                }
                 Ask.Range r = (Ask.Range) ask;
                 if (r.revision() > member.now()) {
                     throw new Store.Gone(false);
@@ -224,7 +259,6 @@
 
         private void begin(long now, Ask.Watch ask) {
             watch = ask;
-            endsAt = Math.min(now + settings.silenceMs(), ask.cutAtMs());
             next = ask.from().stream().mapToLong(Long::longValue).toArray();
             for (int i = 0; i < next.length; i++) {
                 if (!core.created(now, member.history(), i)) {
@@ -237,6 +271,9 @@
         /** Brings what has changed, in batches of whole revisions, some of them in fragments. */
         private void deliver(long now, boolean half) {
             for (int part = 0; part < next.length; part++) {
+                if ((member.muted >> part & 1) != 0) {
+                    continue;
+                }
                 List<Item> events = new ArrayList<>();
                 try {
                     long upTo = next[part] + random.nextInt(6);
@@ -256,7 +293,6 @@
                 if (events.isEmpty()) {
                     continue;
                 }
-                endsAt = Math.min(now + settings.silenceMs(), watch.cutAtMs());
                 int cut = events.size() > 1 ? random.nextInt(events.size()) : 0;
                 boolean on = true;
                 if (cut > 0 || half) {
@@ -271,8 +307,12 @@
                     return;
                 }
             }
-            if (random.nextInt(8) == 0 && upToDate() && !core.progress(now, member.history())) {
-                over(now, End.STOPPED);
+            for (int part = 0; part < next.length && member.notices && random.nextInt(8) == 0; part++) {
+                if ((member.muted >> part & 1) == 0 && next[part] > member.now()
+                        && !core.progress(now, member.history(), part)) {
+                    over(now, End.STOPPED);
+                    return;
+                }
             }
         }
 
--- a/src/main/java/maplespread/registry/Ask.java
+++ b/src/main/java/maplespread/registry/Ask.java
@@ -19,6 +19,9 @@
      */
     record Check(int endpoint, List<Proof> proofs, String gone, long goneAt) implements Ask { }
 
+    /** Of each part how many keys it has now, and those changed after its revision of {@code held}. */
+    record Missed(int endpoint, List<Long> held) implements Ask { }
+
     /** What of a part is looked at; {@code key} is null where the part is held to be empty. */
     record Proof(long revision, String key) { }
 
--- a/src/main/java/maplespread/registry/Endpoints.java
+++ b/src/main/java/maplespread/registry/Endpoints.java
@@ -7,13 +7,15 @@
  */
 final class Endpoints {
     private static final long SOON_BASE_MS = 20, SOON_CAP_MS = 80;
-    private static final long BASE_MS = 50, CAP_MS = 5000;
+    private static final long BASE_MS = 50, CAP_MS = 1000;
     private static final long DENIED_BASE_MS = 1000, DENIED_CAP_MS = 30_000;
 
     private final Pace pace;
     private final long[] restUntil;
     private final long[] lastRest;
     private final boolean[] proved;                              // it has been of use since it last failed
+    private final long[] failed;                                 // as a count of all failures; 0: it is well
+    private long failures;
     private int current;
 
     Endpoints(int count, Pace pace) {
@@ -21,26 +23,32 @@
         restUntil = new long[count];
         lastRest = new long[count];
         proved = new boolean[count];
+        failed = new long[count];
     }
 
     /**
-     * The endpoint to ask: the present one while it holds, else the first that does not rest; -1: all rest.
+     * The endpoint to ask; -1: none yet. The present one while it holds, else of those that do not rest the
+     * one whose failure is longest ago: were the first taken, two dead ones would take turns for good.
      */
     int pick(long now) {
-        if (restUntil[current] <= now) {
-            return current;
+        if (failed[current] == 0) {
+            return restUntil[current] <= now ? current : -1;
         }
+        int best = -1;
         for (int i = 0; i < restUntil.length; i++) {
-            if (restUntil[i] <= now) {
-                current = i;
-                return i;
+            if (restUntil[i] <= now && (best < 0 || failed[i] < failed[best])) {
+                best = i;
             }
         }
-        return -1;
+        current = best < 0 ? current : best;
+        return best;
     }
 
     /** When the first of them may be asked again. */
     long soonest() {
+        if (failed[current] == 0) {
+            return restUntil[current];
+        }
         long least = Long.MAX_VALUE;
         for (long until : restUntil) {
             least = Math.min(least, until);
@@ -60,6 +68,7 @@
     void useful(int endpoint) {
         lastRest[endpoint] = 0;
         proved[endpoint] = true;
+        failed[endpoint] = 0;
     }
 
     boolean proved(int endpoint) {
@@ -68,6 +77,7 @@
 
     void failed(int endpoint, long now, End how) {
         proved[endpoint] = false;
+        failed[endpoint] = ++failures;
         long base = how == End.REFUSED ? SOON_BASE_MS : how == End.DENIED ? DENIED_BASE_MS : BASE_MS;
         long cap = how == End.REFUSED ? SOON_CAP_MS : how == End.DENIED ? DENIED_CAP_MS : CAP_MS;
         lastRest[endpoint] = pace.next(base, lastRest[endpoint], cap);
@@ -81,6 +91,7 @@
 
     /** Its answers lie behind what is known; others are asked meanwhile. */
     void behind(int endpoint, long now, long cap) {
+        failed[endpoint] = ++failures;
         restUntil[endpoint] = now + pace.next(Math.min(BASE_MS, cap), BASE_MS, Math.max(1, cap));
     }
 
@@ -89,6 +100,7 @@
         for (int i = 0; i < current; i++) {
             if (restUntil[i] <= now) {
                 current = i;
+                failed[i] = 0;
                 return true;
             }
         }
--- a/src/main/java/maplespread/registry/Pace.java
+++ b/src/main/java/maplespread/registry/Pace.java
@@ -39,6 +39,11 @@
         return top <= base ? top : base + random.nextLong(top - base + 1);
     }
 
+    /** At most the span, less by up to this part of it: what begins in step does not end so. */
+    long upTo(long span, int part) {
+        return Math.max(1, span - random.nextLong(span / part + 1));
+    }
+
     /** Within a tenth of the span, so that long waits do not end in step either. */
     long around(long span) {
         return Math.max(1, span - span / 10 + random.nextLong(Math.max(1, span / 5)));
--- a/src/main/java/maplespread/registry/RegistryCore.java
+++ b/src/main/java/maplespread/registry/RegistryCore.java
@@ -17,21 +17,26 @@
 public final class RegistryCore {
     /**
      * REBUILDING: all keys are read, page by page, while the view held so far stays. CHECKING: a watch has
-     * ended; whether the registry's history is still the one that the view is of. FOLLOWING: changes come as
-     * they are made, from the revision after the last whole one.
+     * ended; whether the registry's history is still the one that the view is of. CATCHING_UP: it is, and has
+     * gone on; what was missed is read and not left to the next watch, which may be as silent as the last.
+     * FOLLOWING: changes come as they are made, from the revision after the last whole one.
      */
-    public enum Phase { REBUILDING, CHECKING, FOLLOWING }
+    public enum Phase { REBUILDING, CHECKING, CATCHING_UP, FOLLOWING }
 
     private static final long NONE = Long.MIN_VALUE;
     private static final int MOST_PAGE_GROWTH = 16;
     private static final int MOST_DOUBLINGS = 5;
     private static final long REBUILD_BASE_MS = 20, REBUILD_CAP_MS = 200, REBUILD_PEER_MS = 50;
+    private static final long REBUILD_MOST_MS = 1000;
+    private static final long SLOW_ANSWER_MS = 3000;             // where answer_ms has been too little
+    private static final int SPREAD = 4;                         // silences differ by a quarter
 
     /** A rebuild under way. */
     private final class Paging {
         final List<Map<String, Item>> fresh = new ArrayList<>();
         final long startedAt;
         final int endpoint;
+        long wordAt;                                             // its first page came then
         String after = "";
         History history;
 
@@ -66,7 +71,12 @@
     private boolean consistent;                                  // Consul: ask the leader itself for all
     private long preferAt = Long.MAX_VALUE;
     private int preferred;                                       // tries of a better endpoint since it served
-    private long heardAt;
+    private final long[] wordAt;                                 // by part: nothing was missing then
+    private long askedAt, silence;
+    private int created;                                         // watches of the stream that are on
+    private int silent;                                          // calls without an answer, in a row
+    private int checked;                                         // the endpoint that was checked last
+    private boolean stale;
     private boolean denied;
     private boolean broke;                                       // since the last event about the watch
     private Ask out;
@@ -86,23 +96,47 @@
         SplittableRandom random = new SplittableRandom(seed);
         pace = new Pace((double) settings.requestsPerS() / Math.max(1, peers), random);
         endpoints = new Endpoints(settings.endpoints().size(), pace);
-        rebuildCap = REBUILD_CAP_MS + REBUILD_PEER_MS * (peers - 1L);
+        rebuildCap = Math.min(REBUILD_MOST_MS, REBUILD_CAP_MS + REBUILD_PEER_MS * (peers - 1L));
         page = settings.page();
         at = new long[parts];
-        heardAt = now;
+        wordAt = new long[parts];
+        Arrays.fill(wordAt, now);
         for (int i = 0; i < parts; i++) {
             fragments.add(new ArrayList<>());
         }
         phase = whole ? Phase.FOLLOWING : Phase.REBUILDING;
+        if (!settings.paceKeepsClock(peers)) {
+            sink.event(true, "registry.share_small", "key", "registry.requests_per_s", "requests_per_s",
+                settings.requestsPerS(), "dispatchers", peers, "answer_ms", settings.answerMs());
+        }
     }
 
     public Phase phase() {
         return phase;
     }
 
-    /** When the registry last confirmed, or changed, what is held. */
+    /** When nothing was last missing from what is held, in its part that is worst off. */
     public long heardAt() {
-        return heardAt;
+        long least = wordAt[0];
+        for (long at : wordAt) {
+            least = Math.min(least, at);
+        }
+        return least;
+    }
+
+    /**
+     * When the call that is out is silent: without its whole answer, or, where a watch is on, without a line
+     * for each of its parts. A part that speaks says nothing of another.
+     */
+    public long quietAt() {
+        // A registry that is slower than answer_ms is to be followed all the same, late as it is.
+        long answer = Math.max(settings.answerMs(), Math.min(SLOW_ANSWER_MS,
+            settings.answerMs() << Math.min(MOST_DOUBLINGS, silent / endpoints.size())));
+        long limit = askedAt + settings.dialMs() + answer;
+        if (out instanceof Ask.Question q && q.index() > 0) {
+            return limit + q.waitMs() + q.waitMs() / RegistrySettings.CONSUL_EXTRA;
+        }
+        return out instanceof Ask.Watch && created == parts ? Math.max(askedAt, heardAt()) + silence : limit;
     }
 
     /** Whether the token is refused. */
@@ -120,6 +154,11 @@
     /** Whatever is to be done now. */
     public Ask next(long now) {
         view.expire(now);
+        if (!stale && held != null && now - heardAt() > settings.clockMs()) {
+            stale = true;
+            sink.event(true, "registry.stale", "endpoint", endpointName(), "revision", revision(),
+                "unheard_ms", now - heardAt());
+        }
         int endpoint = endpoints.pick(now);
         if (endpoint < 0) {
             return new Ask.Pause(Math.max(now + 1, endpoints.soonest()));
@@ -127,6 +166,9 @@
         if (paging != null && paging.endpoint != endpoint) {
             beginAgain();                                        // the pages would be of two members
         }
+        if (phase == Phase.CATCHING_UP && checked != endpoint) {
+            phase = Phase.CHECKING;                              // the check was of another member
+        }
         if (phase == Phase.REBUILDING && paging == null && now < rebuildAt) {
             return new Ask.Pause(rebuildAt);
         }
@@ -138,9 +180,11 @@
             // A better endpoint that fails whenever it is tried costs a while of blindness each time.
             preferAt = now + pace.around(settings.preferAgainMs() << Math.min(preferred, MOST_DOUBLINGS));
         }
+        askedAt = now;
         out = whole ? question(endpoint) : switch (phase) {
             case REBUILDING -> range(endpoint, now);
             case CHECKING -> check(endpoint);
+            case CATCHING_UP -> new Ask.Missed(endpoint, Arrays.stream(at).boxed().toList());
             case FOLLOWING -> watch(endpoint);
         };
         return out;
@@ -149,7 +193,8 @@
     private Ask question(int endpoint) {
         // After a break all is read at once: a registry restored meanwhile may stand at the same index.
         long index = consistent || broke || held == null ? 0 : at[0];
-        return new Ask.Question(endpoint, firstPart, index, pace.around(settings.waitMs()), consistent);
+        return new Ask.Question(endpoint, firstPart, index, pace.upTo(settings.askedWaitMs(), SPREAD),
+            consistent);
     }
 
     private Ask range(int endpoint, long now) {
@@ -173,6 +218,8 @@
 
     private Ask watch(int endpoint) {
         fragments.forEach(List::clear);                          // half a revision is none
+        created = 0;
+        silence = pace.upTo(settings.silenceMs(), SPREAD);
         List<Long> from = new ArrayList<>();
         for (long done : at) {
             from.add(done + 1);
@@ -198,12 +245,12 @@
         }
         if (paging.history == null) {
             paging.history = history;
+            paging.wordAt = now;
         }
         Map<String, Item> fresh = paging.fresh.get(paging.fresh.size() - 1);
         for (Item item : items) {
             fresh.put(item.key(), item);
         }
-        heardAt = now;
         if (more && !items.isEmpty()) {
             paging.after = items.get(items.size() - 1).key();
         } else if (paging.fresh.size() < parts) {
@@ -241,6 +288,7 @@
         sink.event(false, first ? "registry.built" : "registry.rebuilt", "revision", next.revision(),
             "endpoint", endpointName(), "added", sum[0], "gone", sum[1], "drained", sum[2], "restarted",
             sum[3], "other", sum[4], "ms", now - paging.startedAt, "orphans", view.orphans());
+        word(paging.wordAt, now);
         paging = null;
         otherHistory = false;
         proved = false;
@@ -267,11 +315,56 @@
             believe(now, history, "the last changes held are not in it");
             return false;
         }
-        heardAt = now;
+        checked = endpoint();
+        phase = Arrays.stream(at).allMatch(done -> done >= history.revision()) ? Phase.FOLLOWING
+            : Phase.CATCHING_UP;
+        if (phase == Phase.FOLLOWING) {
+            word(now, now);
+        }
+        return true;
+    }
+
+    /**
+     * By part how many keys it has at the answer's revision, and those that have changed since what is held.
+     * That tells every put; which keys have gone only a rebuild can tell.
+     */
+    public boolean missed(long now, History history, List<Long> counts, List<List<Item>> changed) {
+        if (!trusted(now, history)) {
+            return false;
+        }
+        for (int i = 0; i < parts; i++) {
+            if (view.gone(firstPart + i, changed.get(i), counts.get(i)) != 0) {
+                phase = Phase.REBUILDING;
+                paging = null;
+                return true;
+            }
+        }
+        for (int i = 0; i < parts; i++) {
+            at[i] = history.revision();
+            if (!changed.get(i).isEmpty()) {
+                gone = null;                                     // the newest change is a put
+                view.apply(firstPart + i, changed.get(i), at[i]);
+            }
+        }
+        reached(history, history.revision());
+        word(now, now);
         phase = Phase.FOLLOWING;
         return true;
     }
 
+    /** At {@code then} nothing was missing in any part. */
+    private void word(long then, long now) {
+        Arrays.fill(wordAt, then);
+        fresh(now);
+    }
+
+    private void fresh(long now) {
+        if (stale && now - heardAt() <= settings.clockMs()) {
+            stale = false;
+            sink.event(false, "registry.fresh", "endpoint", endpointName(), "revision", revision());
+        }
+    }
+
     /** The revision that a range or a check asked for has been compacted away. */
     public boolean compacted(long now) {
         if (phase == Phase.CHECKING) {
@@ -312,7 +405,7 @@
         if (!trusted(now, history)) {
             return false;
         }
-        heardAt = now;
+        created++;
         useful();
         if (part == firstPart + parts - 1) {
             sink.event(false, broke ? "registry.resumed" : "registry.following", "endpoint", endpointName(),
@@ -331,12 +424,13 @@
             doubt(now, history);
             return false;
         }
-        heardAt = now;
         List<Item> batch = fragments.get(part - firstPart);
         batch.addAll(items);
         if (more) {
             return true;
         }
+        wordAt[part - firstPart] = now;
+        fresh(now);
         long done = at[part - firstPart];
         batch.removeIf(item -> item.revision() <= done);         // replays
         if (batch.isEmpty()) {
@@ -353,17 +447,17 @@
         return true;
     }
 
-    /** Nothing has changed in any part up to the answer's revision. */
-    public boolean progress(long now, History history) {
+    /** Nothing that is not told has changed in this part up to the answer's revision. */
+    public boolean progress(long now, History history, int part) {
         if (!history.cluster().equals(held.cluster())) {
             doubt(now, history);
             return false;
         }
-        heardAt = now;
-        if (fragments.stream().allMatch(List::isEmpty)) {
-            for (int i = 0; i < parts; i++) {
-                at[i] = Math.max(at[i], history.revision());
-            }
+        int i = part - firstPart;
+        if (fragments.get(i).isEmpty()) {
+            wordAt[i] = now;
+            fresh(now);
+            at[i] = Math.max(at[i], history.revision());
             reached(history, history.revision());
         }
         return true;
@@ -410,7 +504,7 @@
             sink.event(true, "registry.history_changed", "endpoint", endpointName(), "revision", reached,
                 "held", at[0], "why", "the leader's index is lower");
         }
-        heardAt = now;
+        word(now, now);
         useful();
         consistent = false;
         if (first || reached != at[0] || broke) {
@@ -450,7 +544,7 @@
         int endpoint = endpoint();
         boolean watching = out instanceof Ask.Watch;
         denied = how == End.DENIED;
-        boolean silent = false;
+        boolean quiet = false;
         boolean cut = how == End.BROKEN || how == End.SILENT || how == End.REFUSED;
         if (cut && paging != null && paging.history != null) {
             beginAgain();                                        // another history may answer from now on
@@ -474,10 +568,11 @@
             }
             case SILENT -> {
                 // A watch may rightly be silent; it is replaced all the same, and first asked where it was.
-                if (watching && endpoints.proved(endpoint)) {
+                if (watching && created == parts) {
                     endpoints.ended(endpoint, now);
-                    silent = true;
+                    quiet = true;
                 } else {
+                    silent++;
                     endpoints.failed(endpoint, now, how);
                 }
             }
@@ -485,18 +580,21 @@
                 page = Math.max(1, page / 4);
                 if (out instanceof Ask.Range) {
                     endpoints.ended(endpoint, now);
+                } else if (phase == Phase.CATCHING_UP) {
+                    phase = Phase.REBUILDING;                    // in pages it is not too large
+                    paging = null;
                 } else {
                     endpoints.failed(endpoint, now, how);
                 }
             }
             default -> endpoints.failed(endpoint, now, how);
         }
-        if (silent) {
+        if (quiet) {
             sink.event(false, "registry.silent", "endpoint", endpointName(), "revision", revision());
         } else if (how != End.DONE && how != End.STOPPED) {
             sink.event(true, how == End.DENIED ? "registry.denied" : "registry.broken", "endpoint",
                 endpointName(), "how", how, "phase", phase, "revision", revision(),
-                "unheard_ms", now - heardAt);
+                "unheard_ms", now - heardAt());
             broke = true;
         }
         if (now >= preferAt) {
@@ -506,7 +604,7 @@
                 sink.event(false, "registry.prefer", "endpoint", endpointName());
             }
         }
-        if (watching && phase == Phase.FOLLOWING) {
+        if (watching && phase == Phase.FOLLOWING || out instanceof Ask.Missed && phase == Phase.CATCHING_UP) {
             phase = Phase.CHECKING;
         }
     }
@@ -557,6 +655,7 @@
     }
 
     private void useful() {
+        silent = 0;
         endpoints.useful(endpoint());
         preferred = endpoint() == 0 ? 0 : preferred;
     }
--- a/src/main/java/maplespread/registry/RegistrySettings.java
+++ b/src/main/java/maplespread/registry/RegistrySettings.java
@@ -8,7 +8,7 @@
  * {@code page}: keys in one answer of a rebuild; {@code requestsPerS}: what all dispatchers together may ask
  * of the registry. Times are milliseconds: {@code dialMs} to connect, {@code answerMs} for an answer,
  * {@code silenceMs} after which a watch that says nothing is replaced, {@code waitMs} that a blocking
- * question asks for, {@code preferAgainMs} after which a better endpoint is tried again,
+ * question asks for at most, {@code preferAgainMs} after which a better endpoint is tried again,
  * {@code restoreAfterMs} after which a history that has gone back is believed, {@code forgetAfterMs} for
  * which workers absent from a restored history are kept, {@code notReadyAfterMs} after which an old view
  * makes the dispatcher unready (0: never).
@@ -26,9 +26,94 @@
         }
     }
 
+    public static final long DIAL_MS = 250, SILENCE_MS = 2000;
+    private static final long LONG_WAIT_MS = 10_000, SHORT_WAIT_MS = 2000;
+    private static final int FEW_ENDPOINTS = 2;                  // 2 s are enough for a try at each
+    /** Consul adds up to this part of a wait to it. */
+    static final int CONSUL_EXTRA = 16;
+    private static final long CLOCK_MS = 6000, AFTER_WAIT_MS = 2000;
+    private static final long REST_MS = 60, MARGIN_MS = 250;     // between two tries; threads, pauses
+    private static final long MOST_ANSWER_MS = 1000, LEAST_ANSWER_MS = 50;
+
     /** With the defaults of the operators' file, for tools and tests. */
     public static RegistrySettings of(Dialect dialect, List<String> endpoints, List<String> follow) {
-        return new RegistrySettings(dialect, endpoints, follow, "", 1000, 2000, 500, 3000, 10_000, 60_000,
-            30_000, 3000, 15_000, 60_000);
+        int n = endpoints.size();
+        return new RegistrySettings(dialect, endpoints, follow, "", 1000, 2000, DIAL_MS,
+            answerFor(dialect, n, DIAL_MS, SILENCE_MS, waitFor(n)), SILENCE_MS, waitFor(n), 30_000, 3000,
+            15_000, 60_000);
+    }
+
+    /** A long wait costs the registry less; with many endpoints only a short one leaves time for them. */
+    public static long waitFor(int endpoints) {
+        return endpoints <= FEW_ENDPOINTS ? LONG_WAIT_MS : SHORT_WAIT_MS;
+    }
+
+    /** The longest time for an answer that keeps the clock, in steps of 50 ms; 1 s is enough for any. */
+    public static long answerFor(Dialect dialect, int endpoints, long dialMs, long silenceMs, long waitMs) {
+        long answer = MOST_ANSWER_MS, clock = clockMs(dialect, waitMs);
+        while (answer > LEAST_ANSWER_MS
+                && worstMs(dialect, endpoints, dialMs, answer, silenceMs, waitMs) > clock) {
+            answer -= LEAST_ANSWER_MS;
+        }
+        return answer;
+    }
+
+    /** Within so many milliseconds of silence the new word is to be in hand. */
+    public long clockMs() {
+        return clockMs(dialect, waitMs);
+    }
+
+    private static long clockMs(Dialect dialect, long waitMs) {
+        return dialect.wholeAnswers() ? Math.max(CLOCK_MS, waitMs + AFTER_WAIT_MS) : CLOCK_MS;
+    }
+
+    /** How long it may take, while one endpoint answers in time and all others take calls in silence. */
+    public long worstMs() {
+        return worstMs(dialect, endpoints.size(), dialMs, answerMs, silenceMs, waitMs);
+    }
+
+    /**
+     * The silence until it is noticed; a try that is lost at each other endpoint; and the one that answers:
+     * for Consul the list, for etcd the check, what was missed, and a rebuild's first page.
+     */
+    private static long worstMs(Dialect dialect, int endpoints, long dialMs, long answerMs, long silenceMs,
+            long waitMs) {
+        long call = dialMs + answerMs;
+        boolean consul = dialect.wholeAnswers();
+        long noticed = consul ? waitMs + call : Math.max(silenceMs, call);
+        return noticed + endpoints * (call + REST_MS) + (consul ? 0 : 2 * answerMs) + MARGIN_MS;
+    }
+
+    /** The key because of which the clock cannot be kept; null: it is kept. */
+    public String tooLate() {
+        if (!paceKeepsClock(1)) {
+            return "requests_per_s";
+        }
+        int n = endpoints.size();
+        if (worstMs() <= clockMs()) {
+            return null;
+        }
+        if (worstMs(dialect, n, dialMs, answerMs, Math.min(silenceMs, SILENCE_MS), waitMs) <= clockMs()) {
+            return "silence_ms";
+        }
+        if (worstMs(dialect, n, Math.min(dialMs, DIAL_MS), answerMs, silenceMs, waitMs) <= clockMs()) {
+            return "dial_ms";
+        }
+        if (answerMs > LEAST_ANSWER_MS) {
+            return "answer_ms";
+        }
+        long wait = Math.min(waitMs, SHORT_WAIT_MS);
+        return worstMs(dialect, n, dialMs, answerMs, silenceMs, wait) <= clockMs(dialect, wait) ? "wait_ms"
+            : "endpoints";
+    }
+
+    /** Whether a dispatcher's share of the requests comes as fast as answers may. */
+    boolean paceKeepsClock(int dispatchers) {
+        return 1000L * dispatchers <= requestsPerS * answerMs;
+    }
+
+    /** What a question asks for, so that {@code waitMs} holds with what Consul adds. */
+    long askedWaitMs() {
+        return waitMs * CONSUL_EXTRA / (CONSUL_EXTRA + 1);
     }
 }
--- a/src/main/java/maplespread/registry/View.java
+++ b/src/main/java/maplespread/registry/View.java
@@ -120,6 +120,13 @@
             && same(parts.get(part).get(key), item);
     }
 
+    /** How many keys of a part have gone, where it has so many now and these have changed. */
+    long gone(int part, List<Item> changed, long count) {
+        long fresh = changed.stream().map(item -> parts.get(part).get(item.key()))
+            .filter(h -> h == null || h.orphanUntil < Long.MAX_VALUE).count();
+        return size(part) + fresh - count;
+    }
+
     /** Workers kept though a restored registry does not know them. */
     public int orphans() {
         return orphans.size();
--- a/src/main/java/maplespread/registry/client/Follower.java
+++ b/src/main/java/maplespread/registry/client/Follower.java
@@ -1,7 +1,6 @@
 package maplespread.registry.client;
 
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import maplespread.log.Event;
 import maplespread.registry.Ask;
 import maplespread.registry.End;
@@ -114,13 +113,15 @@
             return watch(watch);
         }
         Ask.Check check = ask instanceof Ask.Check c ? c : null;
+        Ask.Missed missed = ask instanceof Ask.Missed m ? m : null;
         Request request = check != null
             ? EtcdWire.check(settings.follow(), check.proofs(), check.gone(), check.goneAt())
-            : range((Ask.Range) ask);
-        String endpoint = endpoint(check != null ? check.endpoint() : ((Ask.Range) ask).endpoint());
+            : missed != null ? EtcdWire.missed(settings.follow(), missed.held()) : range((Ask.Range) ask);
+        String endpoint = endpoint(check != null ? check.endpoint() : missed != null ? missed.endpoint()
+            : ((Ask.Range) ask).endpoint());
         String body;
         try {
-            body = link.call(endpoint, request, settings.answerMs(), false).body();
+            body = link.call(endpoint, request, core.quietAt(), false).body();
         } catch (RegistryLink.Failed e) {
             EtcdWire.Fault fault = e.how == End.ERROR ? EtcdWire.fault(e.status, e.body)
                 : EtcdWire.Fault.OTHER;
@@ -146,6 +147,12 @@
                     : End.STOPPED;
             }
         }
+        if (missed != null) {
+            EtcdWire.Missed m = EtcdWire.missed(body);
+            synchronized (lock) {
+                return core.missed(nowMs(), m.history(), m.counts(), m.changed()) ? End.DONE : End.STOPPED;
+            }
+        }
         EtcdWire.Page page = EtcdWire.page(body);
         synchronized (lock) {
             return core.page(nowMs(), page.history(), page.items(), page.more()) ? End.DONE : End.STOPPED;
@@ -157,12 +164,10 @@
     }
 
     private End watch(Ask.Watch ask) throws RegistryLink.Failed, WireError {
-        long by = ask.cutAtMs() == Long.MAX_VALUE ? Long.MAX_VALUE
-            : TimeUnit.MILLISECONDS.toNanos(ask.cutAtMs());
         WireError[] bad = new WireError[1];
         try {
             End end = link.stream(endpoint(ask.endpoint()), EtcdWire.watch(settings.follow(), ask.from()),
-                settings.silenceMs(), by, line -> {
+                core::quietAt, ask.cutAtMs(), line -> {
                     try {
                         return line(line);
                     } catch (WireError e) {
@@ -191,14 +196,15 @@
             if (n.canceled()) {
                 return core.canceled(now, n.compactRevision(), n.reason());
             }
+            if (part < 0 || part >= settings.follow().size()) {
+                return true;                                     // no watch of this stream
+            }
             if (n.created()) {
                 return core.created(now, n.history(), part);
             }
-            if (!n.items().isEmpty() || n.fragment()) {
-                return part < 0 || part >= settings.follow().size()      // no watch of this stream
-                    || core.changes(now, n.history(), part, n.items(), n.fragment());
-            }
-            return core.progress(now, n.history());
+            return !n.items().isEmpty() || n.fragment()
+                ? core.changes(now, n.history(), part, n.items(), n.fragment())
+                : core.progress(now, n.history(), part);
         }
     }
 
@@ -209,9 +215,7 @@
         String name = settings.follow().get(ask.part());
         Request request = keys ? ConsulWire.keys(name, ask.index(), ask.waitMs(), ask.consistent())
             : ConsulWire.health(name, ask.index(), ask.waitMs(), ask.consistent());
-        // Consul itself adds up to a sixteenth to the wait.
-        long limit = settings.answerMs() + (ask.index() > 0 ? ask.waitMs() + ask.waitMs() / 16 : 0);
-        RegistryLink.Answer answer = link.call(endpoint(ask.endpoint()), request, limit, keys);
+        RegistryLink.Answer answer = link.call(endpoint(ask.endpoint()), request, core.quietAt(), keys);
         long index = answer.number("X-Consul-Index", -1);
         if (index < 0) {
             throw new RegistryLink.Failed(End.MALFORMED, 0, "no X-Consul-Index");
--- a/src/main/java/maplespread/registry/client/RegistryAdmin.java
+++ b/src/main/java/maplespread/registry/client/RegistryAdmin.java
@@ -26,6 +26,7 @@
     }
 
     private static final int SWAPS = 5;
+    private static final long ANSWER_MS = 3000;                  // a person waits: no clock runs here
     private final RegistrySettings settings;
     private final RegistryLink link;
     private final boolean etcd, health;
@@ -45,7 +46,7 @@
         String why = "";
         for (String endpoint : settings.endpoints()) {
             try {
-                return link.call(endpoint, request, settings.answerMs(), orNone).body();
+                return link.call(endpoint, request, Follower.nowMs() + ANSWER_MS, orNone).body();
             } catch (RegistryLink.Failed e) {
                 why += (why.isEmpty() ? "" : "; ") + endpoint + ": " + e.getMessage();
                 if (!read && e.how != End.REFUSED && e.how != End.DENIED && e.how != End.ERROR) {
--- a/src/main/java/maplespread/registry/client/RegistryLink.java
+++ b/src/main/java/maplespread/registry/client/RegistryLink.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
 import maplespread.http.HttpHead;
@@ -69,13 +70,13 @@
         this.token = token;
     }
 
-    /** Asks and waits for the whole answer; only 200, and 404 where {@code orNone}, are of use. */
-    Answer call(String endpoint, Request request, long limitMs, boolean orNone) throws Failed {
+    /** Asks and waits until then for the whole answer; only 200, and 404 where {@code orNone}, are of use. */
+    Answer call(String endpoint, Request request, long byMs, boolean orNone) throws Failed {
         ByteArrayOutputStream body = new ByteArrayOutputStream(1024);
         HttpParser parser = HttpParser.responseOrError(MOST_ANSWER, body::write);
         try {
             send(endpoint, request);
-            link.receive(parser, limitMs);
+            link.receiveBy(parser, byMs * 1_000_000, false);
             usedAt = System.nanoTime();
             keepOrClose(parser);
         } catch (IOException e) {
@@ -93,10 +94,11 @@
     }
 
     /**
-     * Asks and hands on each line as it is whole, until the taker or the peer ends it, or {@code byNanos}.
+     * Asks and hands on each line as it is whole, until the taker or the peer ends it, or {@code byMs}, or it
+     * is silent: {@code quietAt} says when, anew after each line. Bytes that make no whole line are silence.
      * A line that is cut off by the connection's end is never handed on.
      */
-    End stream(String endpoint, Request request, long silenceMs, long byNanos, LineTaker taker)
+    End stream(String endpoint, Request request, LongSupplier quietAt, long byMs, LineTaker taker)
             throws Failed {
         ByteArrayOutputStream error = new ByteArrayOutputStream();
         Failed[] inside = new Failed[1];
@@ -128,19 +130,19 @@
                     checkType(parser.head());
                     typed = true;
                 }
-                long left = byNanos == Long.MAX_VALUE ? silenceMs : (byNanos - System.nanoTime()) / 1_000_000;
-                if (left <= 0) {
+                long now = Follower.nowMs(), quiet = quietAt.getAsLong();
+                if (now >= byMs) {
                     return End.STOPPED;
                 }
+                if (now >= quiet) {
+                    throw new SocketTimeoutException("the stream is silent");
+                }
                 try {
-                    if (!link.fill(Math.min(left, silenceMs))) {
+                    if (!link.fill(Math.min(byMs, quiet) - now)) {
                         throw new EOFException("the stream ended");
                     }
-                } catch (SocketTimeoutException quiet) {
-                    if (left < silenceMs) {
-                        return End.STOPPED;
-                    }
-                    throw quiet;
+                } catch (SocketTimeoutException due) {
+                    // looked at above
                 }
             }
         } catch (IOException e) {
--- a/src/main/java/maplespread/registry/wire/EtcdWire.java
+++ b/src/main/java/maplespread/registry/wire/EtcdWire.java
@@ -24,6 +24,9 @@
     /** A check's answer. */
     public record Checked(History history, List<Long> counts, List<Item> found, boolean gone) { }
 
+    /** By prefix how many keys there are, and which of them have changed. */
+    public record Missed(History history, List<Long> counts, List<List<Item>> changed) { }
+
     /** One line of a watch; {@code watch} is the id that the request gave. */
     public record Notice(History history, long watch, boolean created, boolean canceled, long compactRevision,
                          String reason, boolean fragment, List<Item> items) { }
@@ -68,6 +71,22 @@
         return new Request("POST", "/v3/kv/txn", txn.toString());
     }
 
+    /** By prefix the number of keys, and those that have changed since these revisions. */
+    public static Request missed(List<String> prefixes, List<Long> since) {
+        JsonArray ranges = new JsonArray();
+        for (int i = 0; i < prefixes.size(); i++) {
+            JsonObject count = operation(range(prefixes.get(i), "", 0, 0));
+            count.getAsJsonObject("request_range").addProperty("count_only", true);
+            JsonObject changed = operation(range(prefixes.get(i), "", 0, 0));
+            number(changed.getAsJsonObject("request_range"), "min_mod_revision", since.get(i) + 1);
+            ranges.add(count);
+            ranges.add(changed);
+        }
+        JsonObject txn = new JsonObject();
+        txn.add("success", ranges);
+        return new Request("POST", "/v3/kv/txn", txn.toString());
+    }
+
     private static JsonObject operation(Request range) {
         JsonObject o = new JsonObject();
         o.add("request_range", JsonParser.parseString(range.body()));
@@ -167,6 +186,22 @@
         }
     }
 
+    public static Missed missed(String body) throws WireError {
+        try {
+            JsonObject o = object(body);
+            List<Long> counts = new ArrayList<>();
+            List<List<Item>> changed = new ArrayList<>();
+            JsonArray all = o.getAsJsonArray("responses");
+            for (int i = 0; i < all.size(); i += 2) {
+                counts.add(number(ranged(all, i), "count"));
+                changed.add(items(ranged(all, i + 1), "kvs"));
+            }
+            return new Missed(history(o), counts, changed);
+        } catch (RuntimeException e) {
+            throw new WireError("not an answer to what was missed", e);
+        }
+    }
+
     private static JsonObject ranged(JsonArray responses, int at) {
         return responses.get(at).getAsJsonObject().getAsJsonObject("response_range");
     }
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -51,6 +51,19 @@
         "'follow':['/a/']          | 'follow':['/a/'],'page':0 | registry.page: must be a whole number from",
         "'follow':['/a/']          | 'follow':['/a/'],'page':1.5 | registry.page: must be a whole number",
         "'follow':['/a/']          | 'follow':['/a/'],'wait_ms':'x' | registry.wait_ms: not a number",
+        "'follow':['/a/']          | 'follow':['/a/'],'silence_ms':6000 | registry.silence_ms: after a sil",
+        "'follow':['/a/']          | 'follow':['/a/'],'answer_ms':1300 | registry.answer_ms: after a silen",
+        "'follow':['/a/']          | 'follow':['/a/'],'dial_ms':900,'answer_ms':1000 | registry.dial_ms: a",
+        "'follow':['/a/']          | 'follow':['/a/'],'dial_ms':4000 | registry.dial_ms: after a silence",
+        "etcd'                     | consul-kv','answer_ms':700 | registry.answer_ms: after a silence the",
+        "['127.0.0.1:2379']        | ['1.0.0.1:1','1.0.0.2:1','1.0.0.3:1','1.0.0.4:1','1.0.0.5:1',"
+            + "'1.0.0.6:1','1.0.0.7:1','1.0.0.8:1','1.0.0.9:1','1.0.0.10:1','1.0.0.11:1','1.0.0.12:1']"
+            + "| registry.endpoints: after a silence",
+        "etcd','endpoints':['127.0.0.1:2379'] | consul-kv','wait_ms':20000,'endpoints':['1.0.0.1:1',"
+            + "'1.0.0.2:1','1.0.0.3:1','1.0.0.4:1','1.0.0.5:1'] | registry.wait_ms: after a silence",
+        "'follow':['/a/']          | 'follow':['/a/'],'requests_per_s':1,'answer_ms':500 | registry.requests",
+        "etcd'                     | consul-kv','wait_ms':60000 | registry.not_ready_after_ms: must be 0 o",
+        "'follow':['/a/']          | 'follow':['/a/'],'not_ready_after_ms':5000 | registry.not_ready_after",
         "{'form':'json'}           | {'form':'json'},'subset':{'sharers':0} | subset.sharers: must be",
         "{'form':'json'}           | {'form':'json'},'subset':{'leats':5} | subset.leats: is not known; did",
         "{'form':'json'}           | {'form':'json'},'shares':{'beyond':'all'} | shares.beyond: must be one",
--- a/src/test/java/maplespread/net/RegistryStoriesTest.java
+++ b/src/test/java/maplespread/net/RegistryStoriesTest.java
@@ -36,6 +36,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -253,6 +254,52 @@
         }
     }
 
+    /** The only member answers calls, and its watches, one or all, and its waiting questions say nothing. */
+    @ParameterizedTest
+    @CsvSource({"ETCD,2", "ETCD,4", "ETCD,6", "CONSUL_KV,2", "CONSUL_HEALTH,2"})
+    void whatAWatchDoesNotSayIsLearnedAllTheSame(Dialect dialect, int muted) throws Exception {
+        try (Town town = new Town(dialect, 1, 4)) {
+            StandInRegistry member = town.members.get(0);
+            member.progressMs = 200;
+            RegistrySettings s = town.settings("");
+            List<String> follow = dialect == Dialect.ETCD ? List.of(PREFIX, "/other/") : s.follow();
+            town.start(new Operator(false, new RegistrySettings(dialect, s.endpoints(), follow, "", s.page(),
+                s.requestsPerS(), s.dialMs(), s.answerMs(), s.silenceMs(), s.waitMs(), 500, 300, 600, 0)));
+            town.untilTold(town.worker(3), Route.State.SERVING);
+            String other = "/other/" + town.worker(1).id();
+            if (dialect == Dialect.ETCD) {
+                town.store.delete(PREFIX + town.worker(1).id());
+                town.store.put(other, Town.value(town.worker(1), "SERVING", 0));
+                town.untilTold(town.worker(1), Route.State.SERVING);
+            }
+            member.faults.muted = muted;
+            long asked = member.requests.sum();
+            town.put(town.worker(0), "DRAINING", 0);
+            if (dialect == Dialect.ETCD) {
+                town.store.put(other, Town.value(town.worker(1), "DRAINING", 0));
+                town.untilTold(town.worker(1), Route.State.DRAINING);
+                town.store.delete(PREFIX + town.worker(2).id());
+                until("gone", () -> !town.told.containsKey(town.worker(2).id()));
+            }
+            town.untilTold(town.worker(0), Route.State.DRAINING);
+            assertTrue(member.requests.sum() > asked, "begun anew");
+            member.faults.muted = 0;
+            town.put(town.worker(0), "SERVING", 0);
+            town.untilTold(town.worker(0), Route.State.SERVING);
+        }
+    }
+
+    /** Bytes that never make a line are silence too. */
+    @Test
+    void aLineThatNeverEndsIsGivenUp() throws Exception {
+        try (Town town = new Town(Dialect.ETCD, 1, 2).start()) {
+            town.untilTold(town.worker(1), Route.State.SERVING);
+            town.members.get(0).faults.trickle = true;
+            town.put(town.worker(0), "DRAINING", 0);
+            town.untilTold(town.worker(0), Route.State.DRAINING);
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Dialect.class)
     void answersOfNoUseChangeNothingAndAreLeftForOthers(Dialect dialect) throws Exception {
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -80,7 +80,13 @@
         assertEquals(new Ask.Proof(10, "/w/a"), check.proofs().get(0));
         core.checked(now, history(12), List.of(1L), List.of(Item.of("/w/a", "SERVING", 10)), false);
         core.ended(now, End.DONE);
-        assertEquals(List.of(11L), ((Ask.Watch) core.next(now)).from(), "all of revision 11 again");
+        now += 1000;
+        assertEquals(new Ask.Missed(1, List.of(10L)), core.next(now), "all of revision 11 again");
+        core.missed(now, history(12), List.of(1L), List.of(List.of(Item.of("/w/a", "DRAINING", 11))));
+        core.ended(now, End.DONE);
+        assertEquals(Route.State.DRAINING, news.get(1).routes().get(0).state());
+        now += 1000;
+        assertEquals(List.of(13L), ((Ask.Watch) core.next(now)).from(), "it was as far as 12");
     }
 
     @Test
@@ -88,7 +94,7 @@
         RegistryCore core = following();
         core.changes(now, history(90), 0, List.of(Item.of("/w/b", "SERVING", 11)), false);
         assertEquals(11, core.revision(), "events up to 90 may yet be on their way");
-        core.progress(now, history(90));
+        core.progress(now, history(90), 0);
         assertEquals(90, core.revision());
     }
 
--- a/src/test/java/maplespread/registry/RegistryModelTest.java
+++ b/src/test/java/maplespread/registry/RegistryModelTest.java
@@ -180,7 +180,8 @@
         }
 
         private void restore(boolean sameCluster) {
-            if (backup != null) {
+            // Consul names no cluster: put back over lost data, a backup is like workers that register anew.
+            if (backup != null && !(lost && settings.dialect().wholeAnswers())) {
                 conversations.forEach(c -> c.cut(now, false));
                 store.restore(backup, sameCluster);
                 restored = true;
