Each optional part has one place, and the command line no longer knows the way in

Server held subsets and the upgrade's other process in fields and branches of its own, so that each new part would have touched a dozen places of it. Now a part is one class of maplespread.parts, named in Parts alone; Server asks all of them in turn. The console's calls are a table to which parts add. What Main and the command line both start stands in Start, so neither names the other back.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -6,6 +6,7 @@
 import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -30,16 +31,12 @@
 import maplespread.facade.Outcome;
 import maplespread.facade.RouteNews;
 import maplespread.figures.Figures;
+import maplespread.parts.Host;
+import maplespread.parts.Parts;
+import maplespread.parts.Sources;
 import maplespread.registry.RegistrySettings;
-import maplespread.registry.client.RegistrySource;
 import maplespread.routes.Handover;
-import maplespread.routes.Narrowed;
-import maplespread.routes.RouteReader;
-import maplespread.routes.RouteSet;
 import maplespread.routes.RouteSink;
-import maplespread.subset.Cut;
-import maplespread.upgrade.Note;
-import maplespread.upgrade.Presence;
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
 import maplespread.worker.Prober;
@@ -79,11 +76,10 @@
     private final Prober prober;
     private final Handover routes;
     private final RouteSink sink;
-    private Narrowed narrowed;                                   // null: all workers are used
-    private int sharers;                                         // of a worker; 0: as the settings say
+    private final Parts parts;
     private volatile Consumer<RouteNews> tap = news -> { };
     private RegistrySettings registry;                           // null: discovery has the word
-    private final List<Thread> parts;
+    private final List<Thread> threads;
     private final ExecutorService probes;
     private ServerSocket socket;
     private volatile Listener listener;
@@ -93,8 +89,6 @@
     private long drainedAt;                                      // 0: no drain by call
     private final Figures figures = new Figures();
     private Console console;                                     // null: none is named
-    private Presence presence;                                   // null: no other process is looked for
-    private volatile boolean shared;                             // another one of this dispatcher lives
     private final Object turn = new Object();                    // of those who give the module settings
     private final CountDownLatch told = new CountDownLatch(1);   // of the route set, since the start
 
@@ -125,22 +119,47 @@
                 dispatcher.reportWatchLost();
             }
         };
-        if (operator.subset() != null) {
-            narrowed = new Narrowed(new Cut(config.settings().index(), config.settings().balancers(),
-                operator.subset(), 0), this::among, all);
-        }
-        sink = narrowed == null ? all : narrowed;
-        routes = new Handover(maker(config, registry), sink);
-        parts = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
+        parts = new Parts(config, operator, new Own());
+        sink = parts.routes(all);
+        routes = new Handover(Sources.of(config, registry), sink);
+        threads = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
     }
 
-    private Handover.Maker maker(Config now, RegistrySettings from) {
-        RouteReader reader = new RouteReader(config.names().zones(), config.names().kinds());
-        if (from == null) {
-            return sink -> new RouteSet(now.discovery(), reader, config.known().generation(),
-                config.times().watchSilenceMs(), sink);
+    /** This dispatcher as its parts see it. */
+    private final class Own implements Host {
+        @Override public Config config() {
+            return config;
+        }
+
+        @Override public Figures figures() {
+            return figures;
+        }
+
+        @Override public Figures.Hosts hosts() {
+            return dispatcher.hosts();
+        }
+
+        @Override public void settle() {
+            synchronized (turn) {
+                dispatcher.report(parts.settings(config.settings()));
+            }
+        }
+
+        @Override public boolean quiesce() {
+            return lifecycle.quiesce();
+        }
+
+        @Override public boolean resume() {
+            return lifecycle.resume();
+        }
+
+        @Override public boolean serving() {
+            return lifecycle.serving();
+        }
+
+        @Override public boolean accepting() {
+            return lifecycle.accepting();
         }
-        return sink -> new RegistrySource(from, reader, config.settings().balancers(), config.seed(), sink);
     }
 
     /**
@@ -150,15 +169,14 @@
     public void start() throws IOException {
         sink.news(config.known());
         if (config.console() != null) {
-            console = new Console(config.console(), Config.CONSOLE_PLACES, new Calls(lifecycle::accepting,
-                this::figures, lifecycle::quiesce, lifecycle::resume));
+            console = new Console(config.console(), Config.CONSOLE_PLACES, calls());
             console.start();
-            join();
         }
-        parts.forEach(Thread::start);
+        parts.start();
+        threads.forEach(Thread::start);
         routes.start();
         try {
-            if (shared && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
+            if (parts.shared() && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
                 Logger.warn("no list within {} ms: serves from the one last known", LIST_MS);
             }
         } catch (InterruptedException e) {
@@ -178,7 +196,7 @@
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         thread("listener", listener).start();
-        say(Note.State.SERVING);
+        parts.serving();
         lifecycle.enter(Lifecycle.Phase.SERVING);
         Logger.info("{} serves on {}", config.name(), socket.getLocalSocketAddress());
     }
@@ -189,56 +207,22 @@
 
     /** How much may be held now: part of it while another process of this dispatcher lives. */
     private Config.Sizes sizes() {
-        return shared ? config.sizes().shared() : config.sizes();
+        return parts.shared() ? config.sizes().shared() : config.sizes();
     }
 
     /** What the operators are shown. */
     private String figures() {
-        Figures.Hosts hosts = dispatcher.hosts();
-        figures.hosts(narrowed == null ? hosts : new Figures.Hosts(narrowed.listed(), hosts.down()));
+        figures.hosts(parts.hosts(dispatcher.hosts()));
         return figures.text();
     }
 
-    private void join() {
-        if (config.tmp() != null) {
-            presence = Presence.join(config.tmp(), config.listen().getAddress().getHostAddress() + ':'
-                + config.listen().getPort()).orElse(null);
-            share(presence != null && presence.shared());
-        }
-    }
-
-    /** Takes part of the limits, and of what the nodes share out, while another process of this one lives. */
-    private void share(boolean now) {
-        synchronized (turn) {
-            if (now != shared) {
-                shared = now;
-                dispatcher.report(ours(config.settings()));
-                Logger.info(now ? "another process of this dispatcher lives: shares the limits"
-                    : "alone again: takes all of the limits");
-            }
-        }
-    }
-
-    /** So many dispatchers share each worker that this one uses. */
-    private void among(int count) {
-        synchronized (turn) {
-            sharers = count;
-            dispatcher.report(ours(config.settings()));
-            Logger.info("of {} dispatchers, {} share each worker of this one's subset",
-                config.settings().balancers(), count);
-        }
-    }
-
-    /** The settings as the module is to have them: with the count of those that share the workers. */
-    private Dispatch.Settings ours(Dispatch.Settings told) {
-        Dispatch.Settings set = sharers > 0 ? told.among(sharers) : told;
-        return shared ? set.shared() : set;
-    }
-
-    private void say(Note.State state) {
-        if (presence != null) {
-            presence.say(state);
-        }
+    private Calls calls() {
+        return parts.calls(Map.of(
+            "GET /admin/health", Calls.yes(lifecycle::accepting, "takes clients", 503, "takes no clients"),
+            "GET /admin/stats", ask -> new Calls.Reply(200, figures()),
+            "POST /admin/quiesce", Calls.yes(lifecycle::quiesce, "drains; resume ends it", 409,
+                "not in service"),
+            "POST /admin/resume", Calls.yes(lifecycle::resume, "at work", 409, "not in service")));
     }
 
     /** Has the configuration read anew; asked several times at once, it is read after the last of them. */
@@ -264,6 +248,7 @@
             Config read = source.read();
             Config next = read.after(config);
             Operator operator = source.operator();
+            parts.check(operator);
             RegistrySettings then = operator.registry();
             List<String> later = config.needingRestart(read);
             if (!later.isEmpty()) {
@@ -271,19 +256,14 @@
             }
             figures.show(next.names().live());
             synchronized (turn) {
-                dispatcher.report(ours(next.settings()));
+                dispatcher.report(parts.settings(next.settings()));
                 config = next;                                   // last: the module must know a class first
             }
-            if (narrowed != null) {                              // on or off is taken up by a restart
-                narrowed.fleet(next.settings().balancers(),
-                    operator.subset() == null ? Cut.Wish.ALL : operator.subset());
-            } else if (operator.subset() != null) {
-                Logger.warn("operator: subset is taken up only by a restart");
-            }
+            parts.reload(next, operator);
             figures.reconfigured(true);
             if (!Objects.equals(registry, then)) {
                 registry = then;
-                routes.change(maker(next, then));
+                routes.change(Sources.of(next, then));
                 Logger.info("configuration: read anew; routes come from {}", then == null ? "discovery at "
                     + next.discovery() : then.dialect() + " at " + then.endpoints());
                 return;
@@ -352,8 +332,8 @@
             long start = System.nanoTime();
             long end = start + config.times().endMs() * ms;
             lastUs = dispatcher.nowUs() + (config.times().endMs() - LAST_MS) * 1000;
-            boolean relieved = presence != null && presence.relieved();
-            say(Note.State.ENDING);
+            boolean relieved = parts.relieved();
+            parts.stop();
             if (relieved) {                                      // who serves beside it accepts all
                 Logger.info("another process of this dispatcher has taken over");
                 listener.close();
@@ -378,14 +358,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        parts.forEach(Thread::interrupt);
+        threads.forEach(Thread::interrupt);
         routes.close();
         if (console != null) {
             console.close();
         }
-        if (presence != null) {
-            presence.close();
-        }
+        parts.close();
         lifecycle.enter(Lifecycle.Phase.STOPPED);
     }
 
@@ -409,7 +387,7 @@
                     if (listener != null) {
                         listener.sweep();
                     }
-                    share(presence != null && presence.shared());
+                    parts.sweep();
                     count();
                 }
             } catch (InterruptedException e) {
--- a/src/main/java/maplespread/cli/Cli.java
+++ b/src/main/java/maplespread/cli/Cli.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import maplespread.Main;
+import maplespread.Start;
 import maplespread.config.Config;
 import maplespread.config.ConfigError;
 import maplespread.config.ConfigReader;
@@ -44,7 +44,7 @@
 
     static final class Version implements CommandLine.IVersionProvider {
         @Override public String[] getVersion() {
-            String v = Main.class.getPackage().getImplementationVersion();
+            String v = Start.class.getPackage().getImplementationVersion();
             return new String[] {"maplespread " + (v == null ? "(no version: not from its jar)" : v)};
         }
     }
@@ -57,7 +57,7 @@
         private String operator;
 
         @Override public void run() {
-            Main.serve(operator != null ? operator : System.getenv("BALANCER_OPERATOR"));
+            Start.serve(operator != null ? operator : System.getenv("BALANCER_OPERATOR"));
         }
     }
 
@@ -65,7 +65,7 @@
         description = "The decisions on the simulator's wire (standard input and output).")
     static final class Drill implements Callable<Integer> {
         @Override public Integer call() throws Exception {
-            Main.drill();
+            Start.drill();
             return 0;
         }
     }
@@ -73,8 +73,8 @@
     @Command(name = "rehearse", mixinStandardHelpOptions = true,
         description = "Serves itself one request and ends; the build records its classes.")
     static final class Rehearse implements Callable<Integer> {
-        @Override public Integer call() throws Exception {
-            Main.main(new String[] {"rehearse"});
+        @Override public Integer call() {
+            Start.rehearse();
             return 0;
         }
     }
--- a/src/main/java/maplespread/console/Calls.java
+++ b/src/main/java/maplespread/console/Calls.java
@@ -1,40 +1,81 @@
 package maplespread.console;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
-
-/**
- * The calls by path and method. {@code health}: whether this process takes clients; {@code quiesce} and
- * {@code resume}: do it, and say whether that was possible. None may wait.
- */
-public record Calls(BooleanSupplier health, Supplier<String> stats, BooleanSupplier quiesce,
-                    BooleanSupplier resume) {
+
+/** The calls, by method and path such as {@code GET /admin/health}. */
+public final class Calls {
+    /** What a call brings: the query's parts, decoded, and the body. */
+    public record Ask(Map<String, String> query, String body) {
+        /** Empty where the query has no such part. */
+        public String query(String key) {
+            return query.getOrDefault(key, "");
+        }
+    }
+
     /** What is said to a call; {@code allow}: the method that would do, for a 405. */
-    record Reply(int status, String text, String allow) { }
+    public record Reply(int status, String text, String allow) {
+        public Reply(int status, String text) {
+            this(status, text, null);
+        }
+    }
+
+    /** Answers one call, on a thread of its own; must not wait for longer than 2 s. */
+    public interface Call {
+        Reply answer(Ask ask);
+    }
 
-    private static final Map<String, String> METHODS = Map.of("/admin/health", "GET", "/admin/stats", "GET",
-        "/admin/quiesce", "POST", "/admin/resume", "POST");
+    private final Map<String, Call> table;
 
-    Reply answer(String method, String target) {
-        int query = target.indexOf('?');
-        String path = query < 0 ? target : target.substring(0, query);
-        String wanted = METHODS.get(path);
-        if (wanted == null) {
-            return new Reply(404, "no such call", null);
+    public Calls(Map<String, Call> table) {
+        this.table = Map.copyOf(table);
+    }
+
+    /** One that can be done or not, and says so. */
+    public static Call yes(BooleanSupplier call, String yes, int status, String no) {
+        return ask -> call.getAsBoolean() ? new Reply(200, yes) : new Reply(status, no);
+    }
+
+    Reply answer(String method, String target, String body) {
+        int at = target.indexOf('?');
+        String path = at < 0 ? target : target.substring(0, at);
+        Call call = table.get(method + ' ' + path);
+        if (call != null) {
+            return call.answer(new Ask(parts(at < 0 ? "" : target.substring(at + 1)), body));
+        }
+        TreeSet<String> allow = new TreeSet<>();
+        for (String line : table.keySet()) {
+            if (line.endsWith(' ' + path)) {
+                allow.add(line.substring(0, line.indexOf(' ')));
+            }
         }
-        if (!wanted.equals(method)) {
-            return new Reply(405, wanted + " only", wanted);
+        if (allow.isEmpty()) {
+            return new Reply(404, "no such call");
         }
-        return switch (path) {
-            case "/admin/stats" -> new Reply(200, stats.get(), null);
-            case "/admin/health" -> yes(health, "takes clients", 503, "takes no clients");
-            case "/admin/quiesce" -> yes(quiesce, "drains; resume ends it", 409, "not in service");
-            default -> yes(resume, "at work", 409, "not in service");
-        };
+        String words = String.join(", ", allow);
+        return new Reply(405, words + " only", words);
     }
 
-    private static Reply yes(BooleanSupplier call, String yes, int status, String no) {
-        return call.getAsBoolean() ? new Reply(200, yes, null) : new Reply(status, no, null);
+    /** What cannot be decoded is taken as it stands: the calls say themselves what they cannot use. */
+    private static Map<String, String> parts(String query) {
+        Map<String, String> all = new TreeMap<>();
+        for (String part : query.split("&")) {
+            int is = part.indexOf('=');
+            all.put(decoded(is < 0 ? part : part.substring(0, is)),
+                is < 0 ? "" : decoded(part.substring(is + 1)));
+        }
+        return all;
+    }
+
+    private static String decoded(String text) {
+        try {
+            return URLDecoder.decode(text, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return text;
+        }
     }
 }
--- a/src/main/java/maplespread/console/Console.java
+++ b/src/main/java/maplespread/console/Console.java
@@ -1,5 +1,6 @@
 package maplespread.console;
 
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,7 +25,7 @@
     private static final long STACK = 144 * 1024;
     private static final long CALL_MS = 5_000;                   // for a whole call, from connecting on
     private static final long LAST_MS = 200;                     // for its sender to close first
-    private static final int MOST_BODY = 1024;
+    private static final int MOST_BODY = 16 * 1024;
     private final ServerSocket socket = new ServerSocket();
     private final Calls calls;
     private final int places;
@@ -111,11 +112,13 @@
 
     private void serve(HttpConnection link) {
         try {
-            HttpParser parser = HttpParser.request(MOST_BODY, (bytes, at, length) -> { });
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            HttpParser parser = HttpParser.request(MOST_BODY, body::write);
             Calls.Reply reply;
             try {
                 link.receive(parser, CALL_MS);
-                reply = calls.answer(parser.head().method(), parser.head().target());
+                reply = calls.answer(parser.head().method(), parser.head().target(),
+                    body.toString(StandardCharsets.UTF_8));
             } catch (HttpError bad) {
                 reply = new Calls.Reply(bad.status(), bad.getMessage(), null);
             } catch (SocketTimeoutException slow) {
--- /dev/null
+++ b/src/main/java/maplespread/parts/Host.java
@@ -0,0 +1,29 @@
+package maplespread.parts;
+
+import maplespread.config.Config;
+import maplespread.figures.Figures;
+
+/** What a part may ask of the dispatcher that it belongs to. */
+public interface Host {
+    Config config();
+
+    Figures figures();
+
+    /** Workers on the list, and those that get nothing new. */
+    Figures.Hosts hosts();
+
+    /** What a part says of the settings has changed: the module is given them anew. */
+    void settle();
+
+    /** Sends clients away; false outside of service. */
+    boolean quiesce();
+
+    /** Has clients come again; false outside of service. */
+    boolean resume();
+
+    /** Whether clients are to be sent here. */
+    boolean serving();
+
+    /** Whether clients that come are taken. */
+    boolean accepting();
+}
--- /dev/null
+++ b/src/main/java/maplespread/parts/Part.java
@@ -0,0 +1,56 @@
+package maplespread.parts;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.Map;
+import maplespread.config.Config;
+import maplespread.config.ConfigError;
+import maplespread.config.Operator;
+import maplespread.console.Calls;
+import maplespread.decision.Dispatch;
+import maplespread.figures.Figures;
+import maplespread.routes.RouteSink;
+
+/** One optional part of a dispatcher. Each of its words is asked in the order in which the parts stand. */
+public interface Part extends Closeable {
+    /** Begins, before anything is listened on; must not wait. */
+    default void start() throws IOException { }
+
+    /** The dispatcher serves from now on. */
+    default void serving() { }
+
+    /** Turns a file down that it cannot take up while it runs. Nothing of it counts yet. */
+    default void check(Operator next) throws ConfigError { }
+
+    /** Takes up a file that all parts have found good. */
+    default void reload(Config config, Operator next) { }
+
+    /** What stands before the dispatcher on the route set's way. */
+    default RouteSink routes(RouteSink next) {
+        return next;
+    }
+
+    /** The settings as the module is to have them. */
+    default Dispatch.Settings settings(Dispatch.Settings told) {
+        return told;
+    }
+
+    /** The workers as the figures show them. */
+    default Figures.Hosts hosts(Figures.Hosts told) {
+        return told;
+    }
+
+    /** Its calls on the console by method and path; one of a name that is there takes that one's place. */
+    default Map<String, Calls.Call> calls() {
+        return Map.of();
+    }
+
+    /** About every second; must be quick. */
+    default void sweep() { }
+
+    /** The dispatcher has been told to end, and goes on serving for a while. */
+    default void stop() { }
+
+    /** The dispatcher has answered all that it took. */
+    @Override default void close() { }
+}
--- /dev/null
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -0,0 +1,116 @@
+package maplespread.parts;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import maplespread.config.Config;
+import maplespread.config.ConfigError;
+import maplespread.config.Operator;
+import maplespread.console.Calls;
+import maplespread.decision.Dispatch;
+import maplespread.figures.Figures;
+import maplespread.routes.RouteSink;
+import org.tinylog.Logger;
+
+/** The parts that are on, in order; a new part is named here and nowhere else. */
+public final class Parts {
+    private final List<Part> all = new ArrayList<>();
+    private final Operator begun;
+    private UpgradePart upgrade;                                 // null: no other process is looked for
+
+    public Parts(Config config, Operator operator, Host host) {
+        begun = operator;
+        if (operator.subset() != null) {
+            all.add(new SubsetPart(config.settings(), operator.subset(), host));
+        }
+        if (config.console() != null && config.tmp() != null) {
+            upgrade = new UpgradePart(config, host);
+            all.add(upgrade);                                    // shares what the others leave
+        }
+    }
+
+    /** Switching a part on is a restart's matter; so is most of what it holds open. */
+    private static void later(String part, Object begun, Object next) {
+        if (begun == null && next != null) {
+            Logger.warn("operator: {} is taken up only by a restart", part);
+        }
+    }
+
+    public void start() throws IOException {
+        for (Part part : all) {
+            part.start();
+        }
+    }
+
+    public void serving() {
+        all.forEach(Part::serving);
+    }
+
+    /** A ConfigError where any part cannot take the file up. */
+    public void check(Operator next) throws ConfigError {
+        for (Part part : all) {
+            part.check(next);
+        }
+    }
+
+    public void reload(Config config, Operator next) {
+        later("subset", begun.subset(), next.subset());
+        all.forEach(part -> part.reload(config, next));
+    }
+
+    /** What the source of routes is to report to, so that {@code last} hears what the parts leave of it. */
+    public RouteSink routes(RouteSink last) {
+        RouteSink sink = last;
+        for (Part part : all) {
+            sink = part.routes(sink);
+        }
+        return sink;
+    }
+
+    public Dispatch.Settings settings(Dispatch.Settings told) {
+        Dispatch.Settings settings = told;
+        for (Part part : all) {
+            settings = part.settings(settings);
+        }
+        return settings;
+    }
+
+    public Figures.Hosts hosts(Figures.Hosts told) {
+        Figures.Hosts hosts = told;
+        for (Part part : all) {
+            hosts = part.hosts(hosts);
+        }
+        return hosts;
+    }
+
+    /** The console's calls: these, and those of the parts. */
+    public Calls calls(Map<String, Calls.Call> own) {
+        Map<String, Calls.Call> table = new TreeMap<>(own);
+        all.forEach(part -> table.putAll(part.calls()));
+        return new Calls(table);
+    }
+
+    public void sweep() {
+        all.forEach(Part::sweep);
+    }
+
+    /** Whether another process of this dispatcher lives. */
+    public boolean shared() {
+        return upgrade != null && upgrade.shared();
+    }
+
+    /** Whether another process of this dispatcher takes its clients. */
+    public boolean relieved() {
+        return upgrade != null && upgrade.relieved();
+    }
+
+    public void stop() {
+        all.forEach(Part::stop);
+    }
+
+    public void close() {
+        all.forEach(Part::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/parts/Sources.java
@@ -0,0 +1,24 @@
+package maplespread.parts;
+
+import maplespread.config.Config;
+import maplespread.registry.RegistrySettings;
+import maplespread.registry.client.RegistrySource;
+import maplespread.routes.Handover;
+import maplespread.routes.RouteReader;
+import maplespread.routes.RouteSet;
+
+/** Where the workers are learned from. */
+public final class Sources {
+    private Sources() { }
+
+    /** {@code registry}: null where discovery has the word. */
+    public static Handover.Maker of(Config config, RegistrySettings registry) {
+        RouteReader reader = new RouteReader(config.names().zones(), config.names().kinds());
+        if (registry == null) {
+            return sink -> new RouteSet(config.discovery(), reader, config.known().generation(),
+                config.times().watchSilenceMs(), sink);
+        }
+        return sink -> new RegistrySource(registry, reader, config.settings().balancers(), config.seed(),
+            sink);
+    }
+}
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -29,6 +29,17 @@
     void onlyTheWayInKnowsTheCommandLine() {
         noClasses().that().resideOutsideOfPackage("maplespread.cli..").and().doNotHaveSimpleName("Main")
             .should().dependOnClassesThat().resideInAnyPackage("maplespread.cli..", "picocli..").check(ALL);
+        noClasses().that().resideInAPackage("maplespread.cli..").should().dependOnClassesThat()
+            .haveSimpleName("Main").check(ALL);
+    }
+
+    /** One place names the optional parts, so that one that is off cannot be loaded by another way. */
+    @Test
+    void thePartsAreNamedInOnePlaceAndKnowNoServer() {
+        noClasses().that().resideOutsideOfPackage("maplespread.parts").should().dependOnClassesThat()
+            .haveNameMatching("maplespread\\.parts\\..+Part(\\$.*)?").check(ALL);
+        noClasses().that().resideInAPackage("maplespread.parts").should().dependOnClassesThat()
+            .haveSimpleName("Server").check(ALL);
     }
 
     /** What decides has no sockets, files, clock or threads: it is driven by events and tested with seeds. */
@@ -72,7 +83,7 @@
         for (String p : List.of("log", "registry", "registry/wire", "registry/client", "routes", "cli", "lab",
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
-                "upgrade", "subset", "fair", "lab/fleet",
+                "upgrade", "subset", "fair", "faults", "parts", "lab/fleet",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
--- a/src/test/java/maplespread/MainTest.java
+++ b/src/test/java/maplespread/StartTest.java
@@ -7,11 +7,11 @@
 import org.junit.Test;
 import sun.misc.Signal;
 
-public class MainTest {
+public class StartTest {
     /** Guards against the end of the process, which is what the JVM does on SIGHUP when nobody hears it. */
     @Test public void aHangupIsHeardAndEndsNothing() throws Exception {
         CountDownLatch heard = new CountDownLatch(1);
-        Main.onHangup(heard::countDown);
+        Start.onHangup(heard::countDown);
         Signal.raise(new Signal("HUP"));
         assertTrue(heard.await(10, TimeUnit.SECONDS));
     }
