--- a/src/main/java/maplespread/parts/Parts.java
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -45,7 +45,9 @@
     }
 
     public void serving() {
-        all.forEach(Part::serving);
+        for (Part part : all) {
+            part.serving();
+        }
     }
 
     /** A ConfigError where any part cannot take the file up. */
@@ -57,7 +59,9 @@
 
     public void reload(Config config, Operator next) {
         later("subset", begun.subset(), next.subset());
-        all.forEach(part -> part.reload(config, next));
+        for (Part part : all) {
+            part.reload(config, next);
+        }
     }
 
     /** What the source of routes is to report to, so that {@code last} hears what the parts leave of it. */
@@ -88,12 +92,16 @@
     /** The console's calls: these, and those of the parts. */
     public Calls calls(Map<String, Calls.Call> own) {
         Map<String, Calls.Call> table = new TreeMap<>(own);
-        all.forEach(part -> table.putAll(part.calls()));
+        for (Part part : all) {
+            table.putAll(part.calls());
+        }
         return new Calls(table);
     }
 
     public void sweep() {
-        all.forEach(Part::sweep);
+        for (Part part : all) {
+            part.sweep();
+        }
     }
 
     /** Whether another process of this dispatcher lives. */
@@ -107,10 +115,14 @@
     }
 
     public void stop() {
-        all.forEach(Part::stop);
+        for (Part part : all) {
+            part.stop();
+        }
     }
 
     public void close() {
-        all.forEach(Part::close);
+        for (Part part : all) {
+            part.close();
+        }
     }
 }
