--- /dev/null
+++ b/src/main/java/maplespread/agreement/Change.java
@@ -0,0 +1,14 @@
+package maplespread.agreement;
+
+/** What a caller wants of the value. */
+@FunctionalInterface
+public interface Change {
+    /** Reads the newest value as it is. */
+    Change READ = Value::text;
+
+    /**
+     * The text that is to follow; the same text where nothing is to change, which makes it a read. May be
+     * called several times, with values that are never decided: it must have no other effect.
+     */
+    String apply(Value now) throws Refused;
+}
--- a/src/main/java/maplespread/membership/Membership.java
+++ b/src/main/java/maplespread/membership/Membership.java
@@ -84,6 +84,11 @@
         return Collections.unmodifiableCollection(members.values());
     }
 
+    /** The one of this name, the dead too; null: not known, or this one. */
+    public Update member(String name) {
+        return members.get(name);
+    }
+
     /** Members that are not gone, this one among them. */
     public int size() {
         return 1 + (int) members.values().stream().filter(m -> !m.gone()).count();
--- a/src/main/java/maplespread/membership/Sealed.java
+++ b/src/main/java/maplespread/membership/Sealed.java
@@ -25,10 +25,10 @@
     /** Why packets were dropped. */
     public enum Drop { SHORT, VERSION, KEY, SEAL, STALE, REPLAY, FORM }
 
-    /** What a packet holds. */
-    public record Opened(String from, String address, Message message) { }
+    /** What a packet holds: the membership's message on channel 0, else a channel's payload. */
+    public record Opened(String from, String address, int channel, Message message, byte[] payload) { }
 
-    private static final byte VERSION = 1;
+    private static final byte VERSION = 2;
     private static final int MAC = 32, HEAD = 1 + 4 + 8 + 8 + 8;
     private static final int WINDOW = 64;                        // packets that may come out of order
     private static final int MOST_SENDERS = 4096;
@@ -91,12 +91,9 @@
         return Map.copyOf(dropped);
     }
 
-    /** {@code wallMs}: Unix time. */
+    /** A message of the membership, on channel 0; {@code wallMs}: Unix time. */
     public byte[] seal(Message m, long wallMs) {
         ByteBuffer out = ByteBuffer.allocate(size(m));
-        out.put(VERSION).putInt(sealing).putLong(boot).putLong(++count).putLong(wallMs);
-        text(out, name);
-        text(out, address);
         out.put((byte) m.kind().ordinal()).putLong(m.seq());
         text(out, m.target());
         text(out, m.address());
@@ -107,14 +104,22 @@
             out.put((byte) u.state().ordinal()).putLong(u.boot()).putLong(u.incarnation());
             text(out, u.by());
         }
+        return seal(0, java.util.Arrays.copyOf(out.array(), out.position()), wallMs);
+    }
+
+    /** What another part sends, on its channel. */
+    public byte[] seal(int channel, byte[] payload, long wallMs) {
+        ByteBuffer out = ByteBuffer.allocate(HEAD + 2 * (2 + 1024) + 1 + payload.length + MAC);
+        out.put(VERSION).putInt(sealing).putLong(boot).putLong(++count).putLong(wallMs);
+        text(out, name);
+        text(out, address);
+        out.put((byte) channel).put(payload);
         byte[] mac = mac(keys.get(sealing), out.array(), out.position());
-        byte[] all = java.util.Arrays.copyOf(out.array(), out.position() + MAC);
-        System.arraycopy(mac, 0, all, out.position(), MAC);
-        return all;
+        return java.util.Arrays.copyOf(out.put(mac).array(), out.position());
     }
 
     private static int size(Message m) {
-        int size = HEAD + MAC + 1 + 8 + 2 + 4 * (2 + 2 * 1024);
+        int size = 1 + 8 + 2 + 4 * (2 + 1024);
         for (Update u : m.updates()) {
             size += 3 * 2 + 17 + 4 * (u.name().length() + u.address().length() + u.by().length());
         }
@@ -154,6 +159,12 @@
             if (!fresh(from + '\0' + fromAddress, run, number)) {
                 return drop(Drop.REPLAY);
             }
+            int channel = in.get();
+            if (channel != 0) {
+                byte[] payload = new byte[in.remaining()];
+                in.get(payload);
+                return new Opened(from, fromAddress, channel, null, payload);
+            }
             Kind kind = Kind.values()[in.get()];
             long seq = in.getLong();
             String target = text(in);
@@ -169,7 +180,8 @@
             if (in.hasRemaining() || count < 0) {
                 return drop(Drop.FORM);
             }
-            return new Opened(from, fromAddress, new Message(kind, seq, target, targetAddress, updates));
+            return new Opened(from, fromAddress, 0, new Message(kind, seq, target, targetAddress, updates),
+                null);
         } catch (RuntimeException e) {                           // ends inside a member, or names none
             return drop(Drop.FORM);
         }
--- a/src/main/java/maplespread/membership/client/Group.java
+++ b/src/main/java/maplespread/membership/client/Group.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 import maplespread.log.Event;
@@ -22,21 +23,36 @@
 
 /** One member on a UDP socket. A thread receives, another ticks; both enter the core under one lock. */
 public final class Group implements Closeable {
-    private static final int MOST_BYTES = 64 * 1024;
+    /** Most bytes of one payload on a channel. */
+    public static final int MOST_PAYLOAD = 60 * 1024;
+    private static final int MOST_BYTES = 64 * 1024, BUFFER = 1024 * 1024;
     private static final long STACK = 144 * 1024;
     private static final long FRESH_MS = 30_000;
     private final DatagramSocket socket;
     private final Membership core;
     private final Sealed sealed;
     private final List<BiConsumer<Update, Update>> listeners = new CopyOnWriteArrayList<>();
+    private final Map<Integer, BiConsumer<String, byte[]>> channels = new ConcurrentHashMap<>();
+    private final long boot;
     private boolean over;
 
-    /** Listens at once, and joins; {@code keys} by id, the first seals. */
+    /** Listens at its own address. */
     public Group(MembershipSettings set, LinkedHashMap<Integer, byte[]> keys, long seed) throws IOException {
-        long boot = System.currentTimeMillis();
+        this(set, set.address(), keys, seed);
+    }
+
+    /**
+     * Listens at once, and joins; {@code keys} by id, the first seals. {@code listen}: where the socket is,
+     * while others are told the settings' address, behind which something may stand between.
+     */
+    public Group(MembershipSettings set, String listen, LinkedHashMap<Integer, byte[]> keys, long seed)
+            throws IOException {
+        boot = System.currentTimeMillis();
         sealed = new Sealed(set.name(), set.address(), boot, FRESH_MS);
         sealed.keys(keys);
-        socket = new DatagramSocket(address(set.address()));
+        socket = new DatagramSocket(null);
+        socket.setReceiveBufferSize(BUFFER);
+        socket.bind(address(listen));
         core = new Membership(set, boot, seed, now(), new MembershipSink() {
             @Override public void send(String to, Message message) {
                 Group.this.send(to, message);
@@ -98,12 +114,43 @@
         return sealed.dropped();
     }
 
+    /** This run's number. */
+    public long boot() {
+        return boot;
+    }
+
+    /** Has what comes on a channel heard, sender and payload, on the receiving thread: must be quick. */
+    public void channel(int id, BiConsumer<String, byte[]> heard) {
+        if (id < 1 || id > Byte.MAX_VALUE || channels.putIfAbsent(id, heard) != null) {
+            throw new IllegalArgumentException("not a free channel: " + id);
+        }
+    }
+
+    /** Whether it could be sent; false too for a member that is not known, or a payload too long. */
+    public boolean send(int id, String member, byte[] payload) {
+        byte[] packet;
+        String to;
+        synchronized (this) {
+            Update m = core.member(member);
+            if (m == null || over || payload.length > MOST_PAYLOAD) {
+                return false;
+            }
+            to = m.address();
+            packet = sealed.seal(id, payload, System.currentTimeMillis());
+        }
+        return send(to, packet);
+    }
+
     private void send(String to, Message message) {
-        byte[] packet = sealed.seal(message, System.currentTimeMillis());
+        send(to, sealed.seal(message, System.currentTimeMillis()));
+    }
+
+    private boolean send(String to, byte[] packet) {
         try {
             socket.send(new DatagramPacket(packet, packet.length, address(to)));
+            return true;
         } catch (IOException | IllegalArgumentException e) {     // as good as lost on its way
-            return;
+            return false;
         }
     }
 
@@ -113,13 +160,23 @@
             try {
                 DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
                 socket.receive(packet);
+                Sealed.Opened o;
                 synchronized (this) {
-                    Sealed.Opened o = sealed.open(buffer, packet.getLength(), System.currentTimeMillis());
-                    if (o != null && !over) {
+                    o = sealed.open(buffer, packet.getLength(), System.currentTimeMillis());
+                    if (o == null || over) {
+                        continue;
+                    }
+                    if (o.message() != null) {
                         core.received(now(), o.from(), o.address(), o.message());
                         notifyAll();
+                        continue;
                     }
                 }
+                // Not under the lock: who hears may hold its own, and send.
+                BiConsumer<String, byte[]> heard = channels.get(o.channel());
+                if (heard != null) {
+                    heard.accept(o.from(), o.payload());
+                }
             } catch (IOException e) {
                 // closed, or a passing fault of the socket: the next packet tells
             } catch (RuntimeException e) {                       // no one message may end the thread
