--- a/src/main/java/maplespread/faults/FleetError.java
+++ b/src/main/java/maplespread/faults/FleetError.java
@@ -1,27 +1,25 @@
 package maplespread.faults;
 
 /**
- * Something that could not be done, told so that an operator can act on it. docs/operators/errors.md lists all
- * of its kinds, and a test holds that list to the code.
+ * What the parts of the fleet can refuse or fail with, told so that an operator can act on it; the message has all
+ * three words. docs/operators/errors.md lists all of its kinds, and a test holds that list to the code.
  */
 public abstract class FleetError extends Exception {
     private static final long serialVersionUID = 1;
+    private final String wrong;
     private final String works;
     private final String remedy;
 
-    /**
-     * {@code wrong}: what is wrong, with the names it is about; {@code works}: what goes on all the same;
-     * {@code remedy}: what an operator can do.
-     */
     protected FleetError(String wrong, String works, String remedy) {
-        super(wrong);
+        super(wrong + "; still works: " + works + "; to do: " + remedy);
+        this.wrong = wrong;
         this.works = works;
         this.remedy = remedy;
     }
 
-    /** What is wrong. */
+    /** What is wrong, with the names it is about. */
     public String wrong() {
-        return getMessage();
+        return wrong;
     }
 
     /** What still works. */
@@ -33,9 +31,4 @@
     public String remedy() {
         return remedy;
     }
-
-    /** All three in one line, for a console's answer. */
-    public String told() {
-        return wrong() + ". Still works: " + works + ". To do: " + remedy + '.';
-    }
 }
