--- /dev/null
+++ b/src/main/java/maplespread/release/View.java
@@ -0,0 +1,41 @@
+package maplespread.release;
+
+import java.util.List;
+
+/** What one instance sees of the fleet at this moment, and how it is served. */
+public record View(List<Member> members, Service service) {
+    public enum Role { DISPATCHER, WORKER }
+
+    /** UNKNOWN: nothing is heard of it. Whatever is not SERVING counts as out. */
+    public enum Status { SERVING, DRAINING, DOWN, UNKNOWN }
+
+    /**
+     * One that can be out. {@code run} grows with every start of the member's process; {@code capacity}: work a
+     * second that it can do now, a cold one what it can do while cold (dispatchers: 0).
+     */
+    public record Member(String id, String address, Role role, String zone, String kind, String cell, long run,
+            String version, Status status, double capacity, boolean warm) {
+        public boolean serving() {
+            return status == Status.SERVING;
+        }
+    }
+
+    /** Of the last window: shares of all answers, mean wait, and how many answers these stand on. */
+    public record Service(double refusedShare, double errorShare, double waitMs, long samples) {
+        public static final Service NONE = new Service(0, 0, 0, 0);
+    }
+
+    public View {
+        members = List.copyOf(members);
+    }
+
+    /** The member of this name, or null. */
+    public Member member(String id) {
+        for (Member m : members) {
+            if (m.id().equals(id)) {
+                return m;
+            }
+        }
+        return null;
+    }
+}
