--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -20,6 +20,7 @@
     private final CountDownLatch over = new CountDownLatch(1);
     private volatile boolean closed;
     private volatile String lane;                                // of the job taken; null: none was
+    private long takenAt;                                        // nanoseconds; written before the lane
 
     /** {@code last}: whether the connection ends with this answer, asked when it is given. */
     Answer(HttpConnection connection, BooleanSupplier last, Figures figures) {
@@ -30,6 +31,7 @@
 
     /** A job of this class has been taken: its end is counted, once, by whoever gives the answer. */
     void taken(String lane) {
+        takenAt = System.nanoTime();
         this.lane = lane;
         figures.taken();
     }
@@ -99,7 +101,7 @@
         try {
             connection.send((close ? head.field("Connection", "close") : head).body(body));
             if (lane != null) {
-                figures.answered(lane, code);
+                figures.answered(lane, code, System.nanoTime() - takenAt);
             }
             if (close) {
                 connection.endSending();
--- a/src/main/java/maplespread/config/Checked.java
+++ b/src/main/java/maplespread/config/Checked.java
@@ -86,18 +86,32 @@
         if (!has(key)) {
             return otherwise;
         }
-        double v;
-        try {
-            v = in.getAsJsonPrimitive(key).getAsDouble();
-        } catch (RuntimeException e) {
-            throw error(key, "not a number");
-        }
+        double v = number(key);
         if (!(v >= least && v <= most && v == Math.rint(v))) {
             throw error(key, "must be a whole number from " + least + " to " + most);
         }
         return (long) v;
     }
 
+    double number(String key, double otherwise, double least, double most) throws ConfigError {
+        if (!has(key)) {
+            return otherwise;
+        }
+        double v = number(key);
+        if (!(v >= least && v <= most)) {
+            throw error(key, "must be a number from " + least + " to " + most);
+        }
+        return v;
+    }
+
+    private double number(String key) throws ConfigError {
+        try {
+            return in.getAsJsonPrimitive(key).getAsDouble();
+        } catch (RuntimeException e) {
+            throw error(key, "not a number");
+        }
+    }
+
     /** A list of strings that are not empty, in which none stands twice. */
     List<String> strings(String key) throws ConfigError {
         if (!has(key) || !in.get(key).isJsonArray() || in.getAsJsonArray(key).isEmpty()) {
--- a/src/main/java/maplespread/config/Operator.java
+++ b/src/main/java/maplespread/config/Operator.java
@@ -1,19 +1,27 @@
 package maplespread.config;
 
 import maplespread.registry.RegistrySettings;
+import maplespread.release.Limits;
 import maplespread.subset.Cut;
 
 /**
  * What the operators' own file says, read and checked by {@link OperatorReader}. {@code registry}: null where
  * the workers come from the platform's discovery; {@code subset}: null where each dispatcher uses all
- * workers; {@code fair}: whether requests beyond their tenant's share give way.
+ * workers; {@code fair}: whether requests beyond their tenant's share give way; {@code group}: null where
+ * dispatchers share nothing; {@code release}: who may be out at once, null where nothing is agreed on that.
  */
-public record Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair) {
+public record Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair,
+        GroupSettings group, Limits release) {
     /** What counts where there is no file. */
-    public static final Operator NONE = new Operator(false, null, null, false);
+    public static final Operator NONE = new Operator(false, null);
 
     /** Without subsets and shares. */
     public Operator(boolean jsonLog, RegistrySettings registry) {
         this(jsonLog, registry, null, false);
     }
+
+    /** Without a group. */
+    public Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair) {
+        this(jsonLog, registry, subset, fair, null, null);
+    }
 }
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -1,17 +1,28 @@
 package maplespread.config;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.RegistrySettings.Dialect;
+import maplespread.release.Limits;
 import maplespread.routes.RouteReader;
 import maplespread.subset.Cut;
 
 /**
- * The one place where the operators' own file is read, checked and given defaults. docs/operators/registry.md
- * has every key.
+ * The one place where the operators' own file is read, checked and given defaults. docs/operators/ has every
+ * key.
  */
 public final class OperatorReader {
+    private static final int MOST_ELECTORS = 9;
+    private static final int LEAST_SECRET = 16;
+
     private OperatorReader() { }
 
     /** From the file, or {@link Operator#NONE} where none is named. */
@@ -35,8 +46,92 @@
         }
         boolean fair = root.part("shares").oneOf("beyond", "as_any", List.of("as_any", "give_way"))
             .equals("give_way");
+        GroupSettings group = root.has("group") ? group(root.part("group")) : null;
+        Limits release = root.has("release") ? release(root.part("release")) : null;
+        if (release != null && group == null) {
+            throw root.error("release", "needs a group: nothing can be agreed without one");
+        }
         root.end();
-        return new Operator(json, registry, subset, fair);
+        return new Operator(json, registry, subset, fair, group, release);
+    }
+
+    private static GroupSettings group(Checked in) throws ConfigError {
+        String listen = address(in, "listen", in.string("listen", null));
+        String address = address(in, "address", in.string("address", listen));
+        if (address.startsWith("0.0.0.0:") || address.startsWith("[::]:")) {
+            throw in.error("address", "nobody can be reached at " + address + "; name one of this host's");
+        }
+        List<String> seeds = in.has("seeds") ? in.strings("seeds") : List.of();
+        for (String seed : seeds) {
+            address(in, "seeds", seed);
+        }
+        List<String> electors = in.strings("electors");
+        if (electors.size() > MOST_ELECTORS) {
+            throw in.error("electors", "at most " + MOST_ELECTORS + "; each change waits for most of them");
+        }
+        long period = in.whole("period_ms", 1000, 10, 60_000);
+        long ack = in.whole("ack_ms", Math.max(1, period / 4), 1, 30_000);
+        if (ack >= period) {
+            throw in.error("ack_ms", "must be less than period_ms");
+        }
+        String version = in.string("version", "");
+        if (!version.matches("[\\x21-\\x7e]{0,64}")) {
+            throw in.error("version", "must be at most 64 printable characters without a space");
+        }
+        return new GroupSettings(listen, address, seeds, electors, keys(in), version, period, ack);
+    }
+
+    private static String address(Checked in, String key, String text) throws ConfigError {
+        try {
+            RouteReader.address(text);
+        } catch (IllegalArgumentException e) {
+            throw in.error(key, e.getMessage());
+        }
+        return text;
+    }
+
+    /** Each file has one line: the key's number, and its secret in hexadecimal digits. */
+    private static GroupSettings.Keys keys(Checked in) throws ConfigError {
+        Map<Integer, byte[]> keys = new LinkedHashMap<>();
+        for (String file : in.strings("key_files")) {
+            String[] words;
+            try {
+                words = Files.readString(Path.of(file)).strip().split("\\s+");
+            } catch (IOException | InvalidPathException e) {
+                throw in.error("key_files", "cannot read " + file + ": " + e.getMessage());
+            }
+            if (words.length != 2 || !words[0].matches("[0-9]{1,9}") || !words[1].matches("([0-9a-fA-F]{2})+")) {
+                throw in.error("key_files", file + " must hold a number and a secret in hexadecimal digits");
+            }
+            byte[] secret = HexFormat.of().parseHex(words[1]);
+            if (secret.length < LEAST_SECRET) {
+                throw in.error("key_files", file + ": the secret must have " + LEAST_SECRET + " bytes or more");
+            }
+            if (keys.put(Integer.valueOf(words[0]), secret) != null) {
+                throw in.error("key_files", file + ": number " + words[0] + " stands twice");
+            }
+        }
+        return new GroupSettings.Keys(keys);
+    }
+
+    private static Limits release(Checked in) throws ConfigError {
+        Limits d = Limits.DEFAULT;
+        return new Limits(out(in, "dispatchers_out", d.dispatchersOut()), out(in, "workers_out", d.workersOut()),
+            out(in, "workers_out_zone", d.workersOutZone()), out(in, "workers_out_kind", d.workersOutKind()),
+            in.number("least_capacity", d.leastCapacity(), 0, 1),
+            in.whole("quiet_ms", d.quietMs(), 0, 3_600_000),
+            in.whole("back_ms", d.backMs(), 100, 86_400_000),
+            in.number("worse_refused", d.worseRefused(), 0, 1), in.number("worse_errors", d.worseErrors(), 0, 1),
+            in.number("worse_wait", d.worseWait(), 0, 1000));
+    }
+
+    /** A count, or a share below 1. */
+    private static double out(Checked in, String key, double otherwise) throws ConfigError {
+        double n = in.number(key, otherwise, 0, Limits.ANY);
+        if (n > 1 && n != Math.rint(n)) {
+            throw in.error(key, "must be a share below 1 or a whole number");
+        }
+        return n;
     }
 
     private static RegistrySettings registry(Checked in) throws ConfigError {
--- a/src/main/java/maplespread/figures/Figures.java
+++ b/src/main/java/maplespread/figures/Figures.java
@@ -22,6 +22,7 @@
     }
 
     private final Map<String, PerClass> classes = new ConcurrentSkipListMap<>();
+    private final LongAdder servedNanos = new LongAdder();
     private final LongAdder taken = new LongAdder();
     private final LongAdder over = new LongAdder();
     private final LongAdder attempts = new LongAdder();
@@ -49,9 +50,26 @@
         over.increment();
     }
 
-    /** A job's final answer has been written to its client. */
-    public void answered(String cls, Code code) {
+    /** A job's final answer has been written to its client, so long after the job was taken. */
+    public void answered(String cls, Code code, long tookNanos) {
         classes.computeIfAbsent(cls, n -> new PerClass()).ended[code.ordinal()].increment();
+        if (code == Code.SUCCESS) {
+            servedNanos.add(tookNanos);
+        }
+    }
+
+    /** All answers written so far, by how the jobs ended, and how long those served took together. */
+    public record Totals(long served, long busy, long failed, long servedNanos) { }
+
+    public Totals totals() {
+        long nanos = servedNanos.sum();
+        long[] n = new long[3];
+        for (PerClass c : classes.values()) {
+            for (int i = 0; i < 3; i++) {
+                n[i] += c.ended[i].sum();
+            }
+        }
+        return new Totals(n[0], n[1], n[2], nanos);
     }
 
     /** The last byte of an attempt has been written to a worker. */
--- /dev/null
+++ b/src/main/java/maplespread/release/client/CallRefused.java
@@ -0,0 +1,36 @@
+package maplespread.release.client;
+
+import maplespread.faults.FleetError;
+
+/** A call of an operator's that could not be put to the fleet. Nothing was changed by it. */
+public final class CallRefused extends FleetError {
+    private static final long serialVersionUID = 1;
+
+    /** Why, for a program; {@link #wrong()} says it in words. */
+    public enum Reason {
+        /** This instance is not in the group yet. */
+        NOT_JOINED(503, "service, and what is agreed at other instances",
+            "call another instance; here look for group.not_joined in the log"),
+        /** More calls wait for the fleet than there are places. */
+        TOO_MANY(503, "service, and the calls that do not wait for the fleet", "call again, one at a time"),
+        /** The call lacks what it is about. */
+        BAD_CALL(400, "everything; nothing was asked of the fleet", "add to the call what is named");
+
+        final int status;
+        final String works;
+        final String remedy;
+
+        Reason(int status, String works, String remedy) {
+            this.status = status;
+            this.works = works;
+            this.remedy = remedy;
+        }
+    }
+
+    final int status;
+
+    CallRefused(Reason reason, String wrong) {
+        super(wrong, reason.works, reason.remedy);
+        status = reason.status;
+    }
+}
