--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -1,42 +1,311 @@
 package maplespread.release;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import maplespread.release.ReleaseRefused.Reason;
+import maplespread.release.State.Accident;
+import maplespread.release.State.Halt;
+import maplespread.release.State.Known;
+import maplespread.release.State.Leave;
+import maplespread.release.State.Phase;
+import maplespread.release.State.Release;
 import maplespread.release.View.Member;
-import maplespread.release.View.Service;
+import maplespread.release.View.Role;
 
-/** All that can be asked of the state. {@code by}: the instance or operator that asks, for the log. */
+/**
+ * All that can be asked of the state. {@code by}: the instance or operator that asks, for the log;
+ * {@code act}: {@link State#acts()} as the operator saw it, so that an act that comes late, or twice, does not
+ * undo what was decided since.
+ */
 public final class Commands {
+    private static final int MOST_TRIES = 3;
+
     private Commands() {
     }
 
+    // ------------------------------------------------------------ an operator's
+
     /** New standing limits; null: none. */
     public static Command limits(String by, Limits limits) {
-        throw new UnsupportedOperationException();
+        return now -> {
+            if (limits == null ? now.limits() == null : limits.equals(now.limits())) {
+                return now;
+            }
+            Draft d = new Draft(now).log(by, "limits", "").disturbed();
+            d.limits = limits;
+            return d.done();
+        };
     }
 
-    /** Begins a release; again with the same plan: nothing. {@code view}: gives members and the service before. */
+    /** Begins a release; again with the same plan: nothing. {@code view}: its members, the service before. */
     public static Command begin(String by, Plan plan, View view) {
-        throw new UnsupportedOperationException();
+        return now -> {
+            plan.check();
+            if (now.on()) {
+                if (now.release().plan().equals(plan)) {
+                    return now;
+                }
+                throw refused(Reason.RELEASE_ON, "release " + now.release().plan().id() + " is on");
+            }
+            if (now.halt() != null) {
+                throw refused(Reason.HALTED, "halted: " + now.halt().why());
+            }
+            String before = now.release() == null ? "" : now.release().plan().id();
+            if (before.equals(plan.id()) || now.ended().contains(plan.id())) {
+                throw refused(Reason.NAME_USED, "a release " + plan.id() + " has been before");
+            }
+            Draft d = new Draft(now);
+            for (Member m : view.members()) {
+                if (m.serving()) {
+                    d.members.put(m.id(), known(m, now.members().get(m.id()), false));
+                }
+            }
+            for (String name : plan.names()) {
+                if (!d.members.containsKey(name)) {
+                    throw refused(Reason.MEMBER, "no member " + name + " is known");
+                }
+            }
+            // The last release's marks end with it.
+            d.members.replaceAll((id, k) -> changed(k, false));
+            for (Member m : view.members()) {
+                if (m.serving() && plan.byVersion() && m.version().equals(plan.to())) {
+                    d.members.computeIfPresent(m.id(), (id, k) -> changed(k, true));
+                }
+            }
+            List<List<String>> steps = plan.cut(d.members);
+            if (steps.isEmpty()) {
+                throw refused(Reason.BAD_PLAN, "the plan names no member that is known");
+            }
+            d.release = new Release(plan, Phase.RUNNING, steps, -1, new TreeMap<>(), view.service());
+            if (!before.isEmpty()) {
+                d.ended.add(before);
+            }
+            State next = d.log(by, "begin", plan.id()).acted(null).done();
+            if (next.inForce().isEmpty()) {
+                throw refused(Reason.BAD_PLAN, "there are no limits, neither standing nor the plan's");
+            }
+            Set<String> named = new TreeSet<>();
+            steps.forEach(named::addAll);
+            for (Limits l : next.inForce()) {
+                String never = l.impossible(next.members(), named);
+                if (!never.isEmpty()) {
+                    throw refused(Reason.BAD_PLAN, never);
+                }
+            }
+            return next;
+        };
+    }
+
+    /** No leave from here on, release or not. A second halt counts as the newest one. */
+    public static Command halt(String by, String why) {
+        return now -> new Draft(now).log(by, "halt", why).acted(new Halt(now.acts() + 1, by, why)).done();
+    }
+
+    /** A halt that an instance comes to by itself; nothing where one stands, or an act has come since. */
+    public static Command haltByItself(String by, String why, long act) {
+        return now -> now.halt() != null || now.acts() != act || !now.on() ? now : halt(by, why).apply(now);
+    }
+
+    /** Lifts the halt; goes on where it was going. */
+    public static Command goOn(String by, String why, long act) {
+        return now -> {
+            newest(now, act);
+            return now.halt() == null ? now : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
+        };
     }
 
+    /** Members that were changed return, in reverse order; lifts the halt. */
+    public static Command rollBack(String by, String why, long act) {
+        return now -> {
+            newest(now, act);
+            if (now.release() == null) {
+                throw refused(Reason.NO_RELEASE, "there was no release to roll back");
+            }
+            if (now.release().moves() == Phase.ROLLED_BACK) {
+                return now;
+            }
+            Draft d = new Draft(now).log(by, "roll back", why).acted(null);
+            d.release = d.release.with(Phase.ROLLING_BACK);
+            return retried(d).done();
+        };
+    }
+
+    /** Nothing more is moved, those out come back; lifts the halt. */
+    public static Command abandon(String by, String why, long act) {
+        return now -> {
+            newest(now, act);
+            if (!now.on()) {
+                throw refused(Reason.NO_RELEASE, "no release is on");
+            }
+            Draft d = new Draft(now).log(by, "abandon", why).acted(null);
+            d.release = d.release.with(Phase.ABANDONING);
+            return d.done();
+        };
+    }
+
+    /** An operator says that the member is gone for good: whatever it held is free. */
+    public static Command gone(String by, String member) {
+        return now -> {
+            if (!now.members().containsKey(member)) {
+                throw refused(Reason.MEMBER, "no member " + member + " is known");
+            }
+            Draft d = new Draft(now).log(by, "gone", member).disturbed();
+            d.members.remove(member);
+            d.leaves.remove(member);
+            d.accidents.remove(member);
+            rename(d, member, null);
+            return d.done();
+        };
+    }
+
+    /** A drain without leave: counts as an accident at once; {@code word}: the operator's, logged. */
+    public static Command force(String by, String member, String word) {
+        return now -> {
+            if (word.isBlank()) {
+                throw refused(Reason.NO_LEAVE, "a drain of " + member + " without leave needs a word");
+            }
+            Draft d = new Draft(now).log(by, "force " + member, word).disturbed();
+            if (!now.leaves().containsKey(member)) {
+                d.accidents.put(member, new Accident(by, "forced: " + word));
+            }
+            return d.done();
+        };
+    }
+
+    /** Throws why a drain without leave is refused; returns where nothing is on, or the member has leave. */
+    public static void checkDrain(State now, String member) throws ReleaseRefused {
+        if (!now.leaves().containsKey(member) && (now.on() || !now.inForce().isEmpty() || now.halt() != null)) {
+            throw refused(Reason.NO_LEAVE, member + " has no leave to be out, and "
+                + (now.on() ? "release " + now.release().plan().id() + " is on" : "limits are on"));
+        }
+    }
+
+    // ------------------------------------------------------------ leave
+
     /**
      * Leave for a member of the release that is on. {@code seen}: {@link State#calm()} as the proposer saw it,
-     * and since when it has waited the quiet time where a new step begins.
+     * through the whole quiet time where a step begins.
      */
     public static Command leave(String by, String member, long seen, View view) {
-        throw new UnsupportedOperationException();
+        return now -> {
+            if (!now.on()) {
+                throw refused(Reason.NO_RELEASE, "no release is on");
+            }
+            Release r = now.release();
+            int step = now.step();
+            if (r.moves() == Phase.ABANDONING || step < 0 || !r.steps().get(step).contains(member)
+                    || !now.todo().contains(member)) {
+                throw refused(Reason.NOT_DUE, member + " is not to move now");
+            }
+            Member m = free(now, member, seen, view);
+            if (m.run() > now.members().get(member).run()
+                    && judge(now, m, now.members().get(member).changed()) != now.members().get(member).changed()) {
+                throw refused(Reason.NOT_DUE, member + " has changed without leave, as is soon told");
+            }
+            Draft d = new Draft(now);
+            d.grant(member, m.run(), r.plan().id(), r.moves().name());
+            d.release = r.with(step);
+            return d.done();
+        };
+    }
+
+    /** Leave by an operator's call, where no release is on. */
+    public static Command leaveByHand(String by, String member, long seen, View view, String why) {
+        return now -> {
+            if (now.on()) {
+                throw refused(Reason.RELEASE_ON, "release " + now.release().plan().id()
+                    + " is on, and gives leave in its own order");
+            }
+            Member m = free(now, member, seen, view);
+            Draft d = new Draft(now).log(by, "leave " + member, why);
+            d.grant(member, m.run(), "", why);
+            return d.done();
+        };
     }
 
-    /** Leave by an operator's call, where no release is on: for a member that is to be drained for itself. */
-    public static Command leaveByHand(String by, String member, View view, String why) {
-        throw new UnsupportedOperationException();
+    /** The member, where it may have leave by all that is told and all that the proposer sees. */
+    private static Member free(State now, String member, long seen, View view) throws ReleaseRefused {
+        if (now.halt() != null) {
+            throw refused(Reason.HALTED, "halted by " + now.halt().by() + ": " + now.halt().why());
+        }
+        if (now.leaves().containsKey(member)) {
+            throw refused(Reason.NOT_DUE, member + " has leave");
+        }
+        if (seen != now.calm()) {
+            throw refused(Reason.NOT_QUIET, "the fleet has changed since it was looked at");
+        }
+        Member m = view.member(member);
+        if (m == null || !m.serving() || !now.members().containsKey(member)
+                || m.run() < now.members().get(member).run() || now.accidents().containsKey(member)) {
+            throw refused(Reason.MEMBER, member + " is not seen serving");
+        }
+        Set<String> out = now.out();
+        Map<String, Member> seenNow = new HashMap<>();
+        view.members().forEach(x -> seenNow.put(x.id(), x));
+        double all = 0;
+        double stays = 0;
+        for (Map.Entry<String, Known> k : now.members().entrySet()) {
+            Member x = seenNow.get(k.getKey());
+            if (x == null || !x.serving()) {
+                out.add(k.getKey());
+            }
+            if (k.getValue().role() == Role.WORKER) {
+                all += k.getValue().full();
+                stays += k.getKey().equals(member) || out.contains(k.getKey()) ? 0
+                    : Math.min(x.capacity(), k.getValue().full());
+            }
+        }
+        out.add(member);
+        for (Limits l : now.inForce()) {
+            String over = l.exceeded(now.members(), out);
+            if (!over.isEmpty()) {
+                throw refused(Reason.LIMIT, over);
+            }
+            if (m.role() == Role.WORKER && stays < l.leastCapacity() * all) {
+                throw refused(Reason.CAPACITY, "of a capacity of " + all + " only " + stays + " would stay");
+            }
+        }
+        return m;
     }
 
     /** The holder of this leave was seen serving, warm, under a later run. */
     public static Command back(String by, long number, Member seen) {
-        throw new UnsupportedOperationException();
+        return now -> {
+            Leave held = now.leaves().get(seen.id());
+            if (held == null || held.number() != number) {
+                return now;                                      // told before, by another
+            }
+            if (seen.run() <= held.run() || !seen.serving() || !seen.warm()) {
+                throw refused(Reason.MEMBER, seen.id() + " is not back: " + seen.status() + ", run " + seen.run());
+            }
+            Draft d = new Draft(now);
+            d.calm++;
+            d.leaves.remove(seen.id());
+            d.accidents.remove(seen.id());
+            Known was = now.members().get(seen.id());
+            boolean named = now.on() && !held.release().isEmpty();
+            boolean to = named && !now.release().plan().byVersion() ? now.release().moves() != Phase.ROLLING_BACK
+                : judge(now, seen, was.changed());
+            d.members.put(seen.id(), known(seen, was, to));
+            State next = d.done();
+            if (!named || !next.todo().contains(seen.id())) {
+                return next;
+            }
+            // It has had its leave, and is not what it was to become.
+            Draft again = new Draft(next);
+            TreeMap<String, Integer> tries = new TreeMap<>(next.release().tries());
+            int n = tries.merge(seen.id(), 1, Integer::sum);
+            Release r = next.release();
+            again.release = new Release(r.plan(), r.moves(), r.steps(), -1, tries, r.before());
+            return n < MOST_TRIES ? again.done() : haltByItself(by, seen.id() + " came back " + n
+                + " times as version " + seen.version(), now.acts()).apply(again.done());
+        };
     }
 
     /**
@@ -44,56 +313,185 @@
      * carried out, after which a drain by this leave is refused where it would be carried out.
      */
     public static Command returned(String by, long number) {
-        throw new UnsupportedOperationException();
+        return now -> {
+            Draft d = new Draft(now);
+            if (!d.leaves.values().removeIf(l -> l.number() == number)) {
+                return now;
+            }
+            d.calm++;
+            return d.done();
+        };
     }
 
-    /** Members seen out without leave, and members with an accident that are seen serving again. */
-    public static Command observe(String by, Collection<String> out, Collection<String> serving) {
-        throw new UnsupportedOperationException();
+    /** The release has reached its end, as the proposer sees it: nobody is out, all are what they should be. */
+    public static Command finish(String by, View view) {
+        return now -> {
+            if (!now.on()) {
+                return now;
+            }
+            if (now.halt() != null) {
+                throw refused(Reason.HALTED, "halted by " + now.halt().by() + ": " + now.halt().why());
+            }
+            Release r = now.release();
+            for (Leave l : now.leaves().values()) {
+                if (!l.release().isEmpty()) {
+                    throw refused(Reason.NOT_DUE, "leave is still held");
+                }
+            }
+            boolean left = r.moves() == Phase.ABANDONING;
+            for (List<String> step : left ? List.<List<String>>of() : r.steps()) {
+                for (String id : step) {
+                    Member m = view.member(id);
+                    boolean wanted = r.moves() == Phase.RUNNING;
+                    if (m == null || !m.serving() || now.accidents().containsKey(id)
+                            || m.run() < now.members().get(id).run() || judge(now, m, wanted) != wanted
+                            || now.members().get(id).changed() != wanted) {
+                        throw refused(Reason.NOT_DUE, id + " is not yet seen as it should be");
+                    }
+                }
+            }
+            Draft d = new Draft(now);
+            d.release = r.with(left ? Phase.ABANDONED : r.moves() == Phase.RUNNING ? Phase.DONE
+                : Phase.ROLLED_BACK);
+            return d.log(by, d.release.moves().name(), r.plan().id()).done();
+        };
     }
 
-    /** Members that were not known, or whose full capacity has changed; {@code replaced}: old name to new. */
-    public static Command changeMembers(String by, List<Member> put, Map<String, String> replaced) {
-        throw new UnsupportedOperationException();
+    // ------------------------------------------------------------ what is seen
+
+    /**
+     * Members seen out without leave; members seen serving: an accident of theirs is over, and a later run of
+     * them may be another version.
+     */
+    public static Command observe(String by, Collection<String> out, Collection<Member> serving) {
+        return now -> {
+            Draft d = new Draft(now);
+            for (String id : out) {
+                if (d.members.containsKey(id) && !d.leaves.containsKey(id)) {
+                    d.accidents.putIfAbsent(id, new Accident(by, "seen out"));
+                }
+            }
+            for (Member m : serving) {
+                Known k = d.members.get(m.id());
+                if (k != null && m.run() >= k.run()) {
+                    d.accidents.remove(m.id());
+                    if (m.run() > k.run() && now.release() != null && !d.leaves.containsKey(m.id())) {
+                        d.members.put(m.id(), known(m, k, judge(now, m, k.changed())));
+                    }
+                }
+            }
+            boolean same = d.accidents.equals(now.accidents()) && d.members.equals(now.members());
+            return same ? now : d.disturbed().done();
+        };
     }
 
-    /** No leave from here on, release or not. A second halt is noted. */
-    public static Command halt(String by, String why) {
-        throw new UnsupportedOperationException();
+    /** Members that were not known, or whose full capacity has changed; {@code replaced}: new name to old. */
+    public static Command changeMembers(String by, Collection<Member> put, Map<String, String> replaced) {
+        return now -> {
+            Draft d = new Draft(now);
+            List<String> fresh = new ArrayList<>();
+            for (Member m : put) {
+                Known was = d.members.get(m.id());
+                Known old = d.members.get(replaced.getOrDefault(m.id(), ""));
+                if (was != null) {
+                    if (m.run() >= was.run()) {
+                        d.members.put(m.id(), new Known(was.address(), was.role(), was.zone(), was.kind(),
+                            was.cell(), full(m, was), was.run(), was.changed()));
+                    }
+                } else if (old == null) {
+                    d.members.put(m.id(), known(m, null, judge(now, m, false)));
+                    fresh.add(m.id());
+                } else if (m.run() > old.run()) {                // else the view is older than the state
+                    String before = replaced.get(m.id());
+                    d.members.remove(before);
+                    d.members.put(m.id(), known(m, old, judge(now, m, old.changed())));
+                    Leave l = d.leaves.remove(before);
+                    if (l != null) {
+                        d.leaves.put(m.id(), new Leave(l.number(), 0, l.release(), l.why()));
+                    }
+                    Accident a = d.accidents.remove(before);
+                    if (a != null) {
+                        d.accidents.put(m.id(), a);
+                    }
+                    rename(d, before, m.id());
+                }
+            }
+            if (d.members.equals(now.members())) {
+                return now;
+            }
+            // A restart has nothing to do with who has just come.
+            fresh.removeIf(id -> now.release() == null || !now.release().plan().byVersion()
+                || !now.release().plan().names(id, d.members.get(id)));
+            if (!fresh.isEmpty()) {
+                List<List<String>> steps = new ArrayList<>(d.release.steps());
+                steps.add(List.copyOf(fresh));
+                d.release = d.release.with(steps);
+            }
+            return d.disturbed().done();
+        };
+    }
+
+    /** Somebody has had a majority; see {@link Driver}. */
+    public static Command beat(long seen) {
+        return now -> {
+            Draft d = new Draft(now);
+            d.beats += now.beats() == seen ? 1 : 0;
+            return d.done();
+        };
     }
 
-    /** Lifts the halt of this number ({@link State#halts()}); a newer one stays. */
-    public static Command goOn(String by, String why, long halt) {
-        throw new UnsupportedOperationException();
+    // ------------------------------------------------------------ parts
+
+    /** Whether this run is where the release goes to; {@code was}: what a third version leaves as it was. */
+    private static boolean judge(State now, Member m, boolean was) {
+        if (now.release() == null || !now.release().plan().byVersion()) {
+            return was;
+        }
+        Plan p = now.release().plan();
+        return m.version().equals(p.to()) || was && !p.from().isEmpty() && !m.version().equals(p.from());
     }
 
-    /** Members that were changed return, in reverse order; lifts the halt of this number. */
-    public static Command rollBack(String by, String why, long halt) {
-        throw new UnsupportedOperationException();
+    private static Known known(Member m, Known was, boolean changed) {
+        return new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(), was == null ? m.capacity()
+            : full(m, was), Math.max(m.run(), was == null ? 0 : was.run()), changed);
     }
 
-    /** Nothing more is moved, those out come back; lifts the halt of this number. */
-    public static Command abandon(String by, String why, long halt) {
-        throw new UnsupportedOperationException();
+    private static Known changed(Known k, boolean changed) {
+        return new Known(k.address(), k.role(), k.zone(), k.kind(), k.cell(), k.full(), k.run(), changed);
     }
 
-    /** An operator says that the member is gone for good: whatever it held is free. */
-    public static Command gone(String by, String member) {
-        throw new UnsupportedOperationException();
+    private static double full(Member m, Known was) {
+        return m.warm() ? m.capacity() : Math.max(m.capacity(), was.full());
     }
 
-    /** A drain without leave: counts as an accident at once; {@code word}: the operator's, logged. */
-    public static Command force(String by, String member, String word) {
-        throw new UnsupportedOperationException();
+    private static void rename(Draft d, String old, String name) {
+        if (d.release != null && d.release.names(old)) {
+            List<List<String>> steps = new ArrayList<>();
+            for (List<String> step : d.release.steps()) {
+                List<String> next = new ArrayList<>(step);
+                next.replaceAll(m -> m.equals(old) ? name : m);
+                next.removeIf(m -> m == null);
+                steps.add(next);
+            }
+            steps.removeIf(List::isEmpty);
+            d.release = d.release.with(steps);
+        }
     }
 
-    /** Somebody has had a majority; see {@link Driver}. */
-    public static Command beat(long seen) {
-        throw new UnsupportedOperationException();
+    private static Draft retried(Draft d) {
+        if (d.release != null) {
+            d.release = d.release.with(d.release.moves());
+        }
+        return d;
     }
 
-    /** Throws the reason why a drain without leave is refused; returns where nothing is on. */
-    public static void checkDrain(State now, String member) throws ReleaseRefused {
-        throw new UnsupportedOperationException();
+    private static void newest(State now, long act) throws ReleaseRefused {
+        if (now.acts() != act) {
+            throw refused(Reason.STALE, "another act or halt has come since");
+        }
+    }
+
+    private static ReleaseRefused refused(Reason reason, String wrong) {
+        return new ReleaseRefused(reason, wrong);
     }
 }
--- a/src/main/java/maplespread/release/Limits.java
+++ b/src/main/java/maplespread/release/Limits.java
@@ -1,5 +1,10 @@
 package maplespread.release;
 
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import maplespread.release.View.Role;
+
 /**
  * How much may be out at once, leave and accidents together. A figure of out: under 1 a share of the members
  * it is about, rounded down, else a count. {@code leastCapacity}: share of the workers' full capacity that
@@ -9,12 +14,71 @@
 public record Limits(double dispatchersOut, double workersOut, double workersOutZone, double workersOutKind,
         double leastCapacity, long quietMs, long backMs, double worseRefused, double worseErrors,
         double worseWait) {
-    /** For a figure of out that is not to bind. */
+    /** For a figure that is not to bind. */
     public static final double ANY = 1e9;
     public static final Limits DEFAULT = new Limits(1, 1, ANY, ANY, 0.7, 2_000, 120_000, 0.05, 0.02, 0.5);
+    /** Binds nothing: what a plan does not name of its own limits. */
+    public static final Limits NONE = new Limits(ANY, ANY, ANY, ANY, 0, 0, (long) ANY, ANY, ANY, ANY);
+
+    public Limits {
+        if (!(dispatchersOut >= 0 && workersOut >= 0 && workersOutZone >= 0 && workersOutKind >= 0
+                && leastCapacity >= 0 && leastCapacity <= 1 && quietMs >= 0 && backMs > 0
+                && worseRefused >= 0 && worseErrors >= 0 && worseWait >= 0)) {
+            throw new IllegalArgumentException("a limit is out of its range: " + quietMs + " " + backMs);
+        }
+    }
+
+    /** How many of n may be out. */
+    static int allowed(double figure, int n) {
+        return (int) Math.floor(figure < 1 ? figure * n + 1e-9 : Math.min(figure, n));
+    }
+
+    /** The first limit that these members out exceed, in words; empty: none. */
+    String exceeded(Map<String, State.Known> members, Set<String> out) {
+        Map<String, int[]> groups = new TreeMap<>();             // figure's name -> members, out
+        members.forEach((id, m) -> {
+            int gone = out.contains(id) ? 1 : 0;
+            for (String g : groups(m)) {
+                int[] c = groups.computeIfAbsent(g, k -> new int[2]);
+                c[0]++;
+                c[1] += gone;
+            }
+        });
+        for (Map.Entry<String, int[]> g : groups.entrySet()) {
+            int most = allowed(figure(g.getKey()), g.getValue()[0]);
+            if (g.getValue()[1] > most) {
+                return g.getValue()[1] + " of " + g.getKey() + " would be out, " + most + " may";
+            }
+        }
+        return "";
+    }
+
+    /** What could never move under these limits, in words; empty: nothing. */
+    String impossible(Map<String, State.Known> members, Set<String> named) {
+        for (String id : named) {
+            String e = exceeded(members, Set.of(id));
+            if (!e.isEmpty()) {
+                return id + " can never leave: " + e;
+            }
+        }
+        double all = 0;
+        double largest = 0;
+        for (Map.Entry<String, State.Known> m : members.entrySet()) {
+            all += m.getValue().full();
+            largest = Math.max(largest, named.contains(m.getKey()) ? m.getValue().full() : 0);
+        }
+        return all - largest < leastCapacity * all ? "the largest worker can never leave: less than "
+            + leastCapacity + " of all capacity would stay" : "";
+    }
+
+    private static String[] groups(State.Known m) {
+        return m.role() == Role.DISPATCHER ? new String[] {"the dispatchers"}
+            : new String[] {"the workers", "the workers in zone " + m.zone(),
+                "the workers of kind " + m.kind()};
+    }
 
-    /** The tighter of the two, figure by figure. */
-    public Limits tighter(Limits o) {
-        throw new UnsupportedOperationException();
+    private double figure(String group) {
+        return group.equals("the dispatchers") ? dispatchersOut : group.equals("the workers") ? workersOut
+            : group.startsWith("the workers in zone ") ? workersOutZone : workersOutKind;
     }
 }
