--- a/src/main/java/maplespread/Main.java
+++ b/src/main/java/maplespread/Main.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 
 /**
- * The way in. {@code serve}, {@code drill} and {@code rehearse} are started here as they were always called, so that
- * a start loads nothing of the command line's library; all else is {@link maplespread.cli.Cli}'s.
+ * The way in. {@code serve}, {@code drill} and {@code rehearse} are started here as they were always called,
+ * so that a start loads nothing of the command line's library; all else is {@link maplespread.cli.Cli}'s.
  */
 public final class Main {
     private Main() { }
--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -248,7 +248,6 @@
             Config read = source.read();
             Config next = read.after(config);
             Operator operator = source.operator();
-            parts.check(operator);
             RegistrySettings then = operator.registry();
             List<String> later = config.needingRestart(read);
             if (!later.isEmpty()) {
--- a/src/main/java/maplespread/Start.java
+++ b/src/main/java/maplespread/Start.java
@@ -19,8 +19,8 @@
 import sun.misc.Signal;
 
 /**
- * What the way in and the command line both start: {@code serve} is one real dispatcher, {@code drill} speaks the
- * simulator's wire on standard input and output, {@code rehearse} serves itself one request and ends.
+ * What the way in and the command line both start: {@code serve} is one real dispatcher, {@code drill} speaks
+ * the simulator's wire on standard input and output, {@code rehearse} serves itself one request and ends.
  */
 public final class Start {
     private Start() { }
--- a/src/main/java/maplespread/cli/Cli.java
+++ b/src/main/java/maplespread/cli/Cli.java
@@ -115,6 +115,10 @@
                 : (long) o.subset().sharers() + " dispatchers a worker, at least " + (long) o.subset().least()
                     + " workers");
             out.printf("shares.beyond        %s%n", o.fair() ? "give_way" : "as_any");
+            out.printf("group                %s%n", o.group() == null ? "off: dispatchers share nothing"
+                : o.group());
+            out.printf("release              %s%n", o.release() == null
+                ? "off: nothing is agreed on who is out" : o.release());
             RegistrySettings r = o.registry();
             if (r == null) {
                 out.println("registry             off: routes come from discovery");
--- a/src/main/java/maplespread/config/GroupSettings.java
+++ b/src/main/java/maplespread/config/GroupSettings.java
@@ -7,13 +7,13 @@
 import java.util.Objects;
 
 /**
- * Where the other dispatchers are, and who decides. {@code listen}: this one's UDP socket; {@code address}: how
- * others reach it; {@code seeds}: addresses asked for the group; {@code electors}: names of those that decide;
- * {@code version}: of the program, as a release names it, empty: its jar's; {@code periodMs} between probes,
- * {@code ackMs} for a direct answer.
+ * Where the other dispatchers are, and who decides. {@code listen}: this one's UDP socket; {@code address}:
+ * how others reach it; {@code seeds}: addresses asked for the group; {@code electors}: names of those that
+ * decide; {@code version}: of the program, as a release names it, empty: its jar's; {@code periodMs} between
+ * probes, {@code ackMs} for a direct answer.
  */
-public record GroupSettings(String listen, String address, List<String> seeds, List<String> electors, Keys keys,
-        String version, long periodMs, long ackMs) {
+public record GroupSettings(String listen, String address, List<String> seeds, List<String> electors,
+        Keys keys, String version, long periodMs, long ackMs) {
     /** What packets are sealed with; the first one seals. Shows nothing of the secrets in any text. */
     public static final class Keys {
         private final Map<Integer, byte[]> byId;
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -100,12 +100,14 @@
             } catch (IOException | InvalidPathException e) {
                 throw in.error("key_files", "cannot read " + file + ": " + e.getMessage());
             }
-            if (words.length != 2 || !words[0].matches("[0-9]{1,9}") || !words[1].matches("([0-9a-fA-F]{2})+")) {
+            if (words.length != 2 || !words[0].matches("[0-9]{1,9}")
+                    || !words[1].matches("([0-9a-fA-F]{2})+")) {
                 throw in.error("key_files", file + " must hold a number and a secret in hexadecimal digits");
             }
             byte[] secret = HexFormat.of().parseHex(words[1]);
             if (secret.length < LEAST_SECRET) {
-                throw in.error("key_files", file + ": the secret must have " + LEAST_SECRET + " bytes or more");
+                throw in.error("key_files", file + ": the secret must have " + LEAST_SECRET
+                    + " bytes or more");
             }
             if (keys.put(Integer.valueOf(words[0]), secret) != null) {
                 throw in.error("key_files", file + ": number " + words[0] + " stands twice");
@@ -116,7 +118,8 @@
 
     private static Limits release(Checked in) throws ConfigError {
         Limits d = Limits.DEFAULT;
-        return new Limits(out(in, "dispatchers_out", d.dispatchersOut()), out(in, "workers_out", d.workersOut()),
+        return new Limits(out(in, "dispatchers_out", d.dispatchersOut()),
+            out(in, "workers_out", d.workersOut()),
             out(in, "workers_out_zone", d.workersOutZone()), out(in, "workers_out_kind", d.workersOutKind()),
             in.number("least_capacity", d.leastCapacity(), 0, 1),
             in.whole("quiet_ms", d.quietMs(), 0, 3_600_000),
--- a/src/main/java/maplespread/parts/Part.java
+++ b/src/main/java/maplespread/parts/Part.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.Map;
 import maplespread.config.Config;
-import maplespread.config.ConfigError;
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.decision.Dispatch;
@@ -19,10 +18,7 @@
     /** The dispatcher serves from now on. */
     default void serving() { }
 
-    /** Turns a file down that it cannot take up while it runs. Nothing of it counts yet. */
-    default void check(Operator next) throws ConfigError { }
-
-    /** Takes up a file that all parts have found good. */
+    /** Takes up a file that has been read and checked whole: nothing may fail here. */
     default void reload(Config config, Operator next) { }
 
     /** What stands before the dispatcher on the route set's way. */
--- a/src/main/java/maplespread/parts/Parts.java
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import maplespread.config.Config;
-import maplespread.config.ConfigError;
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.decision.Dispatch;
@@ -25,6 +24,13 @@
         if (operator.subset() != null) {
             all.add(new SubsetPart(config.settings(), operator.subset(), host));
         }
+        if (operator.group() != null) {
+            GroupPart group = new GroupPart(operator.group(), config, host);
+            all.add(group);
+            if (operator.release() != null) {
+                all.add(new ReleasePart(operator.release(), operator.registry(), config, host, group));
+            }
+        }
         if (config.console() != null && config.tmp() != null) {
             upgrade = new UpgradePart(config, host);
             all.add(upgrade);                                    // shares what the others leave
@@ -50,15 +56,10 @@
         }
     }
 
-    /** A ConfigError where any part cannot take the file up. */
-    public void check(Operator next) throws ConfigError {
-        for (Part part : all) {
-            part.check(next);
-        }
-    }
-
     public void reload(Config config, Operator next) {
         later("subset", begun.subset(), next.subset());
+        later("group", begun.group(), next.group());
+        later("release", begun.release(), next.release());
         for (Part part : all) {
             part.reload(config, next);
         }
@@ -120,9 +121,10 @@
         }
     }
 
+    /** The last ones first: they stand on those before them. */
     public void close() {
-        for (Part part : all) {
-            part.close();
+        for (int i = all.size() - 1; i >= 0; i--) {
+            all.get(i).close();
         }
     }
 }
--- a/src/main/java/maplespread/registry/client/RegistryAdmin.java
+++ b/src/main/java/maplespread/registry/client/RegistryAdmin.java
@@ -5,6 +5,7 @@
 import java.io.Closeable;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import maplespread.registry.End;
 import maplespread.registry.Item;
 import maplespread.registry.RegistrySettings;
@@ -26,6 +27,7 @@
     }
 
     private static final int SWAPS = 5;
+    private static final String RECALLED = "leaveTakenBack";
     private final RegistrySettings settings;
     private final RegistryLink link;
     private final boolean etcd, health;
@@ -134,6 +136,51 @@
 
     /** Has the worker drain; false where it is not there. Other changes made meanwhile are not undone. */
     public boolean drain(String worker) throws NotDone {
+        return change(worker, value -> {
+            value.addProperty("lifecycle", "DRAINING");
+            return true;
+        });
+    }
+
+    /**
+     * Has this run of the worker drain by a leave; false where it is not there, or the leave was taken back. The
+     * mark that {@link #recall} leaves at the worker is read and heeded in one swap with the drain.
+     */
+    public boolean drain(String worker, long run, long leave) throws NotDone {
+        return change(worker, value -> {
+            if (run(value) != run || mark(value) >= leave) {
+                return false;
+            }
+            value.addProperty("lifecycle", "DRAINING");
+            return true;
+        });
+    }
+
+    /**
+     * Has this run of the worker serve on, or again, and marks the leave as taken back; false where that run is
+     * not there. After it no {@link #drain(String, long, long)} by that leave or an earlier one is made.
+     */
+    public boolean recall(String worker, long run, long leave) throws NotDone {
+        return change(worker, value -> {
+            if (run(value) != run) {
+                return false;
+            }
+            value.addProperty("lifecycle", "SERVING");
+            value.addProperty(RECALLED, Math.max(leave, mark(value)));
+            return true;
+        });
+    }
+
+    private static long run(JsonObject value) {
+        return value.has("startedAtMs") ? value.get("startedAtMs").getAsLong() : 0;
+    }
+
+    private static long mark(JsonObject value) {
+        return value.has(RECALLED) ? value.get(RECALLED).getAsLong() : 0;
+    }
+
+    /** {@code change}: false where the worker is to stay as it is. */
+    private boolean change(String worker, Predicate<JsonObject> change) throws NotDone {
         for (int i = 0; i < SWAPS; i++) {
             Item item = find(worker);
             if (item == null) {
@@ -144,12 +191,16 @@
                 return true;
             }
             JsonObject value;
+            boolean wanted;
             try {
                 value = JsonParser.parseString(item.text()).getAsJsonObject();
+                wanted = change.test(value);
             } catch (RuntimeException e) {
                 throw new NotDone(item.key() + " cannot be read: " + e.getMessage());
             }
-            value.addProperty("lifecycle", "DRAINING");
+            if (!wanted) {
+                return false;
+            }
             try {
                 boolean done = etcd
                     ? EtcdWire.swapped(call(EtcdWire.swap(item.key(), value.toString(), item.revision()),
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -11,8 +11,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import maplespread.registry.RegistrySettings;
+import maplespread.release.Limits;
 import maplespread.subset.Cut;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -20,6 +22,9 @@
     private static final String GOOD = "{'log':{'form':'json'},'registry':{'dialect':'etcd',"
         + "'endpoints':['127.0.0.1:2379'],'follow':['/a/']}}";
 
+    private static final String GROUP = "{'group':{'listen':'127.0.0.1:7946','electors':['n0'],"
+        + "'key_files':['deploy/group.key']},'release':{}}";
+
     private static Operator read(String text) throws ConfigError {
         return OperatorReader.text(text.replace('\'', '"'));
     }
@@ -63,6 +68,51 @@
         assertTrue(e.getMessage().startsWith(message.strip()), e.getMessage());
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'listen':'127.0.0.1:7946'| 'address':'127.0.0.1:7946' | group.listen: is missing",
+        "127.0.0.1:7946           | n0:7946              | group.listen: not a numeric address",
+        "127.0.0.1:7946           | 0.0.0.0:7946         | group.address: nobody can be reached",
+        "['n0']                   | []                   | group.electors: must be a list",
+        "['n0']                   | ['a','b','c','d','e','f','g','h','i','j'] | group.electors: at most 9",
+        "['n0']                   | ['n0'],'seeds':['x'] | group.seeds: not a numeric address",
+        "['n0']                   | ['n0'],'ack_ms':1000 | group.ack_ms: must be less than period_ms",
+        "['n0']                   | ['n0'],'version':'a b' | group.version: must be at most 64 printable",
+        "['n0']                   | ['n0'],'sead':[]     | group.sead: is not known; did you mean seeds?",
+        "deploy/group.key         | /nowhere/at.all      | group.key_files: cannot read /nowhere/at.all",
+        "deploy/group.key         | README.md            | group.key_files: README.md must hold a number",
+        "['deploy/group.key']     | ['deploy/group.key','./deploy/group.key'] | group.key_files: ./deploy/",
+        "{}                       | {'workers_out':1.5}  | release.workers_out: must be a share below 1",
+        "{}                       | {'workers_out':-1}   | release.workers_out: must be a number from 0.0",
+        "{}                       | {'least_capacity':2} | release.least_capacity: must be a number from",
+        "{}                       | {'back_ms':0}        | release.back_ms: must be a whole number from",
+        "'group'                  | 'gruop'              | release: needs a group"})
+    void faultsOfAGroupAreNamed(String part, String instead, String message) throws ConfigError {
+        assertEquals(Limits.DEFAULT, read(GROUP).release());
+        ConfigError e = assertThrows(ConfigError.class,
+            () -> read(GROUP.replace(part.strip(), instead.strip())));
+        assertTrue(e.getMessage().startsWith(message.strip()), e.getMessage());
+    }
+
+    /** Several keys are good at once, the first one seals; no text shows a secret. */
+    @Test
+    void keysAreReadFromFilesInOrder(@TempDir Path dir) throws Exception {
+        String secret = "ab".repeat(16);
+        Files.writeString(dir.resolve("short"), "1 abcd");
+        Files.writeString(dir.resolve("k7"), "7 " + secret + "\n");
+        Operator o = read(GROUP.replace("'deploy/group.key'", "'" + dir.resolve("k7") + "','deploy/group.key'"));
+        assertEquals(List.of(7, 1), List.copyOf(o.group().keys().byId().keySet()));
+        assertEquals(16, o.group().keys().byId().get(7).length);
+        assertTrue(o.toString().contains("keys [7, 1]") && !o.toString().contains(secret));
+        assertTrue(assertThrows(ConfigError.class, () -> read(GROUP.replace("deploy/group.key",
+            dir.resolve("short").toString()))).getMessage().contains("16 bytes or more"));
+        GroupSettings g = o.group();
+        assertEquals(List.of(), g.needingRestart(read(GROUP.replace("'n0'", "'n0','n1'")).group()),
+            "keys and electors are taken up while it runs");
+        assertEquals(List.of("group.listen", "group.address"), g.needingRestart(read(GROUP.replace(":7946",
+            ":7947")).group()));
+    }
+
     @Test
     void whatIsNoFileOrNoObjectIsSaid() {
         assertTrue(assertThrows(ConfigError.class, () -> OperatorReader.file("/nowhere/at.all")).getMessage()
@@ -83,13 +133,14 @@
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
         String fleet = Files.readString(Path.of("docs/operators/fleet.md"));
-        for (String part : List.of("subset", "shares")) {
+        for (String part : List.of("subset", "shares", "group", "release")) {
             JsonObject all = JsonParser.parseString(example).getAsJsonObject();
             for (String key : all.getAsJsonObject(part).keySet()) {
                 assertTrue(fleet.contains("| `" + part + "." + key + "` |"), key);
             }
         }
         assertEquals(OperatorReader.text("{\"subset\":{}}").subset(), o.subset(), "it shows the defaults");
+        assertEquals(Limits.DEFAULT, o.release(), "it shows the defaults");
         RegistrySettings r = o.registry();
         assertEquals(RegistrySettings.of(r.dialect(), r.endpoints(), r.follow()).toString(),
             r.toString().replace(r.tokenFile(), ""), "it shows the defaults");
