--- a/src/main/java/maplespread/agreement/Agreement.java
+++ b/src/main/java/maplespread/agreement/Agreement.java
@@ -1,48 +1,736 @@
 package maplespread.agreement;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
+import maplespread.agreement.Kept.Done;
+import maplespread.agreement.Kept.Held;
+import maplespread.agreement.Word.Kind;
 
-/** One member's part. */
+/**
+ * One member's part: its vote where it is an elector, its own changes, one after another, and the last value
+ * that it knows to be decided. A run that begins is blind: it votes for nothing until it has read what a
+ * majority knows. Words tell which runs their sender knows of; a vote of a run that is known to be over
+ * counts for nothing, as the run after it may have forgotten it.
+ */
 public final class Agreement {
+    /** Most bytes of a value's text, as UTF-8. */
+    public static final int MOST_TEXT = 48 * 1024;
+    private static final int MOST_RUNS = 512;
+
+    /** What a caller asked for; one is in work at a time. */
+    private static final class Job {
+        final Change change;                                     // READ with the other two
+        final List<String> electors;                             // to move to, or to found with; null: neither
+        final boolean founding;
+        final long number, giveUpAt;
+        final Consumer<Result> done;
+        boolean tried;                                           // votes were asked for its change
+        long triedEpoch, triedVersion;                           // over which value, at first
+        Exception refusal;                                       // by the value that is in work
+
+        Job(Change change, List<String> electors, boolean founding, long number, long giveUpAt,
+                Consumer<Result> done) {
+            this.change = change;
+            this.electors = electors == null ? null : List.copyOf(electors);
+            this.founding = founding;
+            this.number = number;
+            this.giveUpAt = giveUpAt;
+            this.done = done;
+        }
+    }
+
+    /** One try of the job under one ballot. */
+    private static final class Try {
+        final Ballot ballot;
+        final long since, endAt;
+        final Set<String> asked = new TreeSet<>();
+        final Set<String> refused = new HashSet<>();
+        final Map<String, Word> promises = new TreeMap<>();
+        final Map<String, Long> accepted = new TreeMap<>();      // by which run
+        Kept next;                                               // null: promises are still awaited
+        List<List<String>> lists;                                // that must accept it
+
+        Try(Ballot ballot, long since, long endAt) {
+            this.ballot = ballot;
+            this.since = since;
+            this.endAt = endAt;
+        }
+    }
+
     private final AgreementSettings set;
+    private final long boot;
+    private final long since;
+    private final SplittableRandom random;
     private final AgreementSink sink;
-    private Value known;
+    private final Map<String, Long> runs = new TreeMap<>();      // the newest known of each member
+    private final Set<String> members = new TreeSet<>();
+    private final Set<String> told = new HashSet<>();            // warnings that were given
+    private final ArrayDeque<Word> toSelf = new ArrayDeque<>();
+    // the vote
+    private boolean blind = true;
+    private Ballot promised = Ballot.NONE;
+    private Held accepted;
+    private Held known;                                          // decided
+    private final Map<String, Word> answers = new TreeMap<>();   // while blind
+    private final Map<String, Long> empty = new TreeMap<>();     // runs that told this one that they kept nothing
+    private long askAt, askWait;
+    private long newsAt, staleSince;
+    // the proposer
+    private final ArrayDeque<Job> jobs = new ArrayDeque<>();
+    private Try open;
+    private Ballot highest = Ballot.NONE;
+    private long jobNumber, tries, tryAt;
 
     /** {@code boot}: Unix milliseconds, above that of every earlier run under this name. */
     public Agreement(AgreementSettings set, long boot, long seed, long now, AgreementSink sink) {
         this.set = set;
+        this.boot = boot;
         this.sink = sink;
+        since = now;
+        random = new SplittableRandom(seed);
+        runs.put(set.name(), boot);
+        askAt = now;
+        askWait = set.retryMs();
+        newsAt = now + set.mostRetryMs();
+        staleSince = Long.MAX_VALUE;
     }
 
-    public long tick(long now) {
-        return now;
+    /** The last value known to be decided; null: none. */
+    public Value known() {
+        return known == null ? null : known.kept().value();
+    }
+
+    /** Whether this run has not yet read what a majority knows. */
+    public boolean blind() {
+        return blind;
     }
 
-    public void received(long now, Word w) {
+    /** The electors as this member knows them; two lists while a change is under way: each decides. */
+    public List<List<String>> electors() {
+        return lists(Held.later(accepted, known) ? accepted : known);
     }
 
-    /** Who is there, electors or not: they are told what is decided. */
+    /** Who is there, electors or not: they are asked at the start, and told what is decided. */
     public void members(Collection<String> names) {
+        members.clear();
+        members.addAll(names);
+        members.remove(set.name());
     }
 
-    public void change(long now, Change c, long giveUpAt, Consumer<Result> done) {
+    // ------------------------------------------------------------ what callers want
+
+    /** A change; {@code done} hears of it once, within a call of this object. */
+    public void change(long at, Change c, long giveUpAt, Consumer<Result> done) {
+        add(at, new Job(c, null, false, ++jobNumber, giveUpAt, done));
     }
 
-    /** Moves to these electors, one at a time. */
-    public void electors(long now, List<String> next, long giveUpAt, Consumer<Result> done) {
+    /** Moves to these electors, one at a time, those that are new first. */
+    public void electors(long at, List<String> next, long giveUpAt, Consumer<Result> done) {
+        add(at, new Job(Change.READ, checked(next), false, ++jobNumber, giveUpAt, done));
     }
 
-    /** Begins anew; {@code wallMs}: Unix time. */
-    public void found(long now, long wallMs, List<String> electors, long giveUpAt, Consumer<Result> done) {
+    /**
+     * Begins a life anew, over the newest value that anybody who answers has, with a majority of these
+     * electors, blind ones too. Only where no majority of the electors in force can be read any more: what
+     * nobody who answers knows is lost. {@code wallMs}: Unix time, for the epoch.
+     */
+    public void found(long at, long wallMs, List<String> electors, long giveUpAt, Consumer<Result> done) {
+        Job job = new Job(Change.READ, checked(electors), true, ++jobNumber, giveUpAt, done);
+        job.triedEpoch = wallMs;
+        add(at, job);
     }
 
-    public Value known() {
-        return known;
+    private static List<String> checked(List<String> electors) {
+        if (electors.isEmpty() || Set.copyOf(electors).size() < electors.size()) {
+            throw new IllegalArgumentException("electors must be named, each once: " + electors);
+        }
+        return electors;
     }
 
-    public boolean blind() {
+    private void add(long at, Job job) {
+        jobs.add(job);
+        tick(at);
+    }
+
+    // ------------------------------------------------------------ time
+
+    /** Does what is due; returns when to be called again at the latest. */
+    public long tick(long at) {
+        if (blind && at >= askAt) {
+            ask();
+            askWait = Math.min(set.mostRetryMs(), 2 * askWait);
+            askAt = at + askWait;
+        }
+        if (blind) {
+            trySee(at);
+        }
+        for (Job j : List.copyOf(jobs)) {
+            if (at >= j.giveUpAt) {
+                if (j == jobs.peek()) {
+                    open = null;
+                    tries = 0;
+                }
+                if (!jobs.remove(j)) {
+                    continue;                                    // by what another one's end has called
+                }
+                j.done.accept(new Result(Result.Kind.NO_MAJORITY, known(),
+                    new NoMajority("no majority of " + lists(known) + " decided in time")));
+            }
+        }
+        if (open != null && open.next == null && jobs.peek().founding) {
+            tryPropose(at);                                      // waited for those who are slow
+        }
+        if (open != null && at >= open.endAt) {
+            failed(at);
+        }
+        nudge(at);
+        if (open == null && !jobs.isEmpty() && at >= tryAt) {
+            begin(at);
+        }
+        if (at >= newsAt) {
+            newsAt = at + set.mostRetryMs();
+            news(new ArrayList<>(members));
+            List<String> electors = new ArrayList<>(names(lists(known)));
+            electors.remove(set.name());
+            news(electors);
+        }
+        drain(at);
+        return nextAt(at);
+    }
+
+    private long nextAt(long at) {
+        long next = newsAt;
+        if (blind) {
+            next = Math.min(next, askAt);
+        }
+        for (Job j : jobs) {
+            next = Math.min(next, j.giveUpAt);
+        }
+        if (open != null) {
+            next = Math.min(next, jobs.peek().founding ? at + set.retryMs() : open.endAt);
+        } else if (!jobs.isEmpty()) {
+            next = Math.min(next, tryAt);
+        }
+        return Math.max(next, at + 1);
+    }
+
+    private void news(List<String> among) {
+        if (!among.isEmpty()) {
+            String to = among.get(random.nextInt(among.size()));
+            send(to, Kind.NEWS, known == null ? Ballot.NONE : known.at(), null);
+        }
+    }
+
+    /** Whoever proposed what is kept here may be gone: after a while an elector finishes it. */
+    private void nudge(long at) {
+        boolean stale = !blind && accepted != null && names(accepted.kept().lists()).contains(set.name())
+            && (known == null || !known.kept().equals(accepted.kept()) || !accepted.kept().before().isEmpty());
+        if (!stale || !jobs.isEmpty()) {
+            staleSince = Long.MAX_VALUE;
+        } else if (staleSince == Long.MAX_VALUE) {
+            staleSince = at + random.nextLong(set.mostRetryMs());
+        } else if (at > staleSince + set.mostRetryMs()) {
+            staleSince = Long.MAX_VALUE;
+            jobs.add(new Job(Change.READ, null, false, ++jobNumber, at + 4 * set.mostRetryMs(), r -> { }));
+        }
+    }
+
+    // ------------------------------------------------------------ words
+
+    private Word word(Kind kind, Ballot ballot, boolean founding, long asker, Map<String, Long> quorum,
+            Held held) {
+        return new Word(kind, set.name(), boot, runs, ballot, promised, blind, founding, asker,
+            set.electors(), quorum, held);
+    }
+
+    private void send(String to, Kind kind, Ballot ballot, Held held) {
+        send(to, word(kind, ballot, false, 0, Map.of(), held));
+    }
+
+    private void send(String to, Word w) {
+        if (to.equals(set.name())) {
+            toSelf.add(w);
+        } else {
+            sink.send(to, w);
+        }
+    }
+
+    /** Once for each of its kind and what it names. */
+    private void warn(String name, Object... pairs) {
+        if (told.add(name + List.of(pairs))) {
+            sink.event(true, name, pairs);
+        }
+    }
+
+    /** A word came, of one who is known to have sent it. */
+    public void received(long at, Word w) {
+        if (w.from().equals(set.name())) {
+            warn("agreement.name_taken_twice", "boot", w.boot());
+            return;
+        }
+        take(at, w);
+        tick(at);
+    }
+
+    private void drain(long at) {
+        while (!toSelf.isEmpty()) {
+            take(at, toSelf.remove());
+        }
+    }
+
+    private void take(long at, Word w) {
+        learn(w.from(), w.boot());
+        w.runs().forEach(this::learn);
+        w.quorum().forEach(this::learn);
+        if (w.boot() < runs.get(w.from())) {
+            return;                                              // of a run that is over
+        }
+        highest = Ballot.later(highest, w.promised());
+        switch (w.kind()) {
+            case ASK -> send(w.from(), word(Kind.STATE, Ballot.NONE, false, w.boot(), Map.of(), accepted));
+            case STATE -> {
+                if (blind && w.asker() == boot) {
+                    answers.put(w.from(), w);
+                    if (w.held() == null && sameSettings(w)) {
+                        empty.put(w.from(), w.boot());
+                    }
+                }
+            }
+            case PREPARE -> prepare(w);
+            case PROMISE -> {
+                if (open != null && open.next == null && open.ballot.equals(w.ballot())) {
+                    open.promises.put(w.from(), w);
+                    tryPropose(at);
+                }
+            }
+            case ACCEPT -> accept(at, w);
+            case ACCEPTED -> {
+                if (open != null && open.next != null && open.ballot.equals(w.ballot())) {
+                    open.accepted.put(w.from(), w.boot());
+                    tryDecide(at);
+                }
+            }
+            case REFUSE -> {
+                if (open != null && open.ballot.equals(w.ballot())) {
+                    refused(at, w);
+                }
+            }
+            case DECIDED -> decided(w.held());
+            case NEWS -> {
+                int by = w.ballot().compareTo(known == null ? Ballot.NONE : known.at());
+                if (by < 0) {
+                    send(w.from(), Kind.DECIDED, known.at(), known);
+                } else if (by > 0) {
+                    send(w.from(), Kind.NEWS, known == null ? Ballot.NONE : known.at(), null);
+                }
+            }
+        }
+    }
+
+    private void learn(String name, long run) {
+        if (run > runs.getOrDefault(name, 0L)) {
+            if (name.equals(set.name())) {
+                warn("agreement.name_taken_twice", "boot", run); // nothing of this run counts any more
+            }
+            runs.put(name, run);
+            if (runs.size() > MOST_RUNS) {                       // names that come and go
+                Set<String> keep = names(lists(accepted));
+                keep.addAll(members);
+                keep.addAll(set.electors());
+                keep.add(set.name());
+                keep.add(name);
+                runs.keySet().retainAll(keep);
+            }
+        }
+    }
+
+    /** Whether this run of the member is the newest known. */
+    private boolean current(String name, long run) {
+        return runs.getOrDefault(name, 0L) == run;
+    }
+
+    // ------------------------------------------------------------ the lists
+
+    private List<List<String>> lists(Held held) {
+        return held == null ? List.of(set.electors()) : held.kept().lists();
+    }
+
+    private static Set<String> names(List<List<String>> lists) {
+        Set<String> names = new TreeSet<>();
+        lists.forEach(names::addAll);
+        return names;
+    }
+
+    private static boolean majorities(List<List<String>> lists, Set<String> of) {
+        return lists.stream().allMatch(l -> 2 * l.stream().filter(of::contains).count() > l.size());
+    }
+
+    private static boolean same(List<String> a, List<String> b) {
+        return Set.copyOf(a).equals(Set.copyOf(b));
+    }
+
+    // ------------------------------------------------------------ a run that begins
+
+    private void ask() {
+        Set<String> to = names(lists(known));
+        to.addAll(set.electors());
+        to.addAll(members);
+        to.remove(set.name());
+        to.forEach(n -> send(n, Kind.ASK, Ballot.NONE, null));
+    }
+
+    /**
+     * Sees again what this run's predecessors may have voted for, once a majority of the electors in force,
+     * itself not counted, has told what it knows: whatever was decided is among it, and whoever answered
+     * will tell that the runs before are over.
+     */
+    private void trySee(long at) {
+        Set<String> sighted = new TreeSet<>();
+        Held newest = accepted;
+        Ballot top = promised;
+        answers.values().removeIf(w -> !current(w.from(), w.boot()));
+        for (Word w : answers.values()) {
+            newest = Held.later(w.held(), newest) ? w.held() : newest;
+            top = Ballot.later(top, w.promised());
+        }
+        for (Word w : answers.values()) {
+            if (!w.blind() && (newest != null || sameSettings(w))) {
+                sighted.add(w.from());
+            }
+        }
+        sighted.remove(set.name());
+        List<List<String>> lists = lists(newest);
+        if (majorities(lists, sighted)) {
+            see(newest, top, "read");
+        } else if (newest == null && set.electors().contains(set.name())
+                && at - since >= set.mostRetryMs() && set.electors().stream().allMatch(n ->
+                    n.equals(set.name()) || current(n, empty.getOrDefault(n, -1L)))) {
+            // No elector had taken anything when it was asked; what it did since, it did knowing of this run.
+            see(null, top, "new");
+        } else if (newest != null && answers.keySet().containsAll(others(lists))) {
+            warn("agreement.lost", "epoch", newest.kept().value().epoch(), "electors", lists);
+        }
+    }
+
+    private Set<String> others(List<List<String>> lists) {
+        Set<String> names = names(lists);
+        names.remove(set.name());
+        return names;
+    }
+
+    private boolean sameSettings(Word w) {
+        if (!same(w.electors(), set.electors())) {
+            warn("agreement.electors_differ", "member", w.from(), "theirs", w.electors(), "here",
+                set.electors());
+            return false;
+        }
         return true;
     }
+
+    private void see(Held newest, Ballot top, String how) {
+        accepted = newest;
+        promised = top;
+        blind = false;
+        answers.clear();
+        sink.event(false, "agreement.sighted", "by", how, "version",
+            newest == null ? null : newest.kept().value().version());
+    }
+
+    // ------------------------------------------------------------ the vote
+
+    private void refuse(Word w) {
+        send(w.from(), Kind.REFUSE, w.ballot(), null);
+    }
+
+    private void prepare(Word w) {
+        if (blind && !w.founding() || accepted == null && !w.founding() && !sameSettings(w)) {
+            return;
+        }
+        if (w.ballot().compareTo(promised) < 0) {
+            refuse(w);
+            return;
+        }
+        promised = w.ballot();
+        send(w.from(), Kind.PROMISE, w.ballot(), accepted);
+    }
+
+    private void accept(long at, Word w) {
+        // Promises of a run that is over may be forgotten: a try that rests on one must begin anew.
+        boolean rests = w.quorum().entrySet().stream().allMatch(q -> current(q.getKey(), q.getValue()));
+        // A blind one joins a life that is founded if this very run has promised so, and was counted.
+        if (blind && !(w.founding() && promised.equals(w.ballot()) && w.quorum().containsKey(set.name()))) {
+            return;
+        }
+        if (!rests || w.ballot().compareTo(promised) < 0) {
+            refuse(w);
+            return;
+        }
+        promised = w.ballot();
+        accepted = new Held(w.ballot(), w.held().kept());
+        if (blind) {
+            see(accepted, promised, "found");
+        }
+        send(w.from(), Kind.ACCEPTED, w.ballot(), null);
+    }
+
+    /** What is decided is kept as if it had been voted for; and no earlier ballot is promised after it. */
+    private void decided(Held held) {
+        if (Held.later(held, accepted)) {
+            accepted = held;
+            promised = Ballot.later(promised, held.at());
+        }
+        highest = Ballot.later(highest, held.at());
+        Value v = held.kept().value();
+        Value before = known();
+        if (v.after(before)) {
+            known = held;
+            if (before != null && before.epoch() != v.epoch()) {
+                sink.event(true, "agreement.epoch", "epoch", v.epoch(), "version", v.version(), "before",
+                    before.epoch(), "known_version", before.version());
+            }
+            if (before != null && before.electorsNumber() != v.electorsNumber()) {
+                sink.event(false, "agreement.electors", "number", v.electorsNumber(), "electors",
+                    v.electors());
+            }
+            sink.learned(v);
+        } else if (v.equals(before) && Held.later(held, known)) {
+            known = held;
+        }
+    }
+
+    // ------------------------------------------------------------ a try
+
+    private long waitMs() {
+        return Math.min(set.mostRetryMs(), set.retryMs() << Math.min(tries, 10));
+    }
+
+    private void begin(long at) {
+        Job job = jobs.peek();
+        Ballot after = Ballot.later(Ballot.later(highest, promised), known == null ? Ballot.NONE : known.at());
+        long epoch = after.epoch();
+        if (job.founding) {
+            epoch = Math.max(job.triedEpoch, epoch + 1);
+        } else if (epoch == 0) {
+            epoch = newestRun();
+        }
+        Ballot ballot = new Ballot(epoch, epoch > after.epoch() ? 1 : after.round() + 1, set.name(), boot);
+        highest = ballot;
+        open = new Try(ballot, at, at + (job.founding ? 2 * set.mostRetryMs() : waitMs()));
+        Set<String> to = names(electors());
+        if (job.founding) {
+            to.addAll(job.electors);
+            to.addAll(members);
+        }
+        prepareAt(to);
+    }
+
+    private long newestRun() {
+        return set.electors().stream().mapToLong(n -> runs.getOrDefault(n, 0L)).max().orElse(0);
+    }
+
+    private void prepareAt(Set<String> names) {
+        for (String name : names) {
+            if (open.asked.add(name)) {
+                send(name, word(Kind.PREPARE, open.ballot, jobs.peek().founding, 0, Map.of(), null));
+            }
+        }
+    }
+
+    private void failed(long at) {
+        open = null;
+        tryAt = at + 1 + random.nextLong(waitMs());
+        tries++;
+    }
+
+    /** Where those that refuse leave no majority, waiting on is in vain. */
+    private void refused(long at, Word w) {
+        open.refused.add(w.from());
+        Set<String> left = new HashSet<>(open.asked);
+        left.addAll(open.lists == null ? Set.of() : names(open.lists));
+        left.removeAll(open.refused);
+        List<List<String>> lists = open.lists;
+        if (lists == null) {
+            lists = jobs.peek().founding ? List.of(jobs.peek().electors) : lists(newest());
+        }
+        if (!majorities(lists, left)) {
+            failed(at);
+        }
+    }
+
+    /** The newest that a promise of the try tells; null: nothing. */
+    private Held newest() {
+        Held newest = null;
+        for (Word w : open.promises.values()) {
+            newest = Held.later(w.held(), newest) ? w.held() : newest;
+        }
+        return newest;
+    }
+
+    private void tryPropose(long at) {
+        Job job = jobs.peek();
+        open.promises.values().removeIf(w -> !current(w.from(), w.boot()));
+        Held newest = newest();
+        List<List<String>> lists = job.founding ? List.of(job.electors) : lists(newest);
+        prepareAt(names(lists));
+        Set<String> yes = open.promises.keySet();
+        if (!majorities(lists, yes) || job.founding && at - open.since < set.mostRetryMs()) {
+            return;
+        }
+        if (newest == null && !job.founding) {
+            // Nobody knows anything. A life that begins must come after every one that was.
+            long least = Math.max(newestRun(), known == null ? 0 : known().epoch() + 1);
+            if (open.ballot.epoch() < least) {
+                highest = Ballot.later(highest, new Ballot(least, 0, "", 0));
+                begin(at);
+                return;
+            }
+        }
+        Kept base = newest != null ? newest.kept()
+            : new Kept(new Value(open.ballot.epoch(), 0, "", 0, set.electors()), List.of(), List.of());
+        Kept next = job.founding ? founded(job, newest, base) : next(job, base);
+        if (next == null) {
+            return;
+        }
+        Set<String> added = names(next.lists());
+        base.lists().forEach(added::removeAll);
+        if (!majorities(next.lists(), yes) || !job.founding && !yes.containsAll(added)) {
+            prepareAt(names(next.lists()));                      // one who does not answer must not be let in
+            return;
+        }
+        Map<String, Long> quorum = new TreeMap<>();
+        open.promises.forEach((n, w) -> quorum.put(n, w.boot()));
+        open.next = next;
+        open.lists = new ArrayList<>(next.lists());
+        if (!job.founding) {
+            open.lists.addAll(base.lists());
+        }
+        Word w = word(Kind.ACCEPT, open.ballot, job.founding, 0, quorum, new Held(open.ballot, next));
+        names(open.lists).forEach(n -> send(n, w));
+    }
+
+    /** What a life begins with; null where there is nothing to begin, and the job is over. */
+    private Kept founded(Job job, Held newest, Kept base) {
+        if (newest != null && job.tried && base.value().epoch() >= job.triedEpoch
+                && same(base.value().electors(), job.electors)) {
+            return base;                                         // an earlier try of the same came through
+        }
+        Set<String> sighted = new HashSet<>();
+        open.promises.forEach((n, w) -> {
+            if (!w.blind()) {
+                sighted.add(n);
+            }
+        });
+        if (majorities(lists(newest), sighted)) {
+            finish(new Result(Result.Kind.REFUSED, known(), new Refused("a majority of the electors is sighted",
+                "changes are decided as always", "nothing need be founded; electors are changed by call")));
+            return null;
+        }
+        if (!job.tried) {
+            job.tried = true;
+            job.triedEpoch = open.ballot.epoch();
+        }
+        Value v = base.value();
+        return new Kept(new Value(open.ballot.epoch(), v.version() + 1, v.text(), v.electorsNumber() + 1,
+            job.electors), List.of(), base.done());
+    }
+
+    /** What is to follow; null where that cannot be told any more, and the job is over. */
+    private Kept next(Job job, Kept base) {
+        Value v = base.value();
+        // Electors change only over what is known to be decided: lists then differ by one step at most.
+        boolean decided = known != null && known.kept().equals(base);
+        List<String> before = decided ? List.of() : base.before();
+        List<String> electors = v.electors();
+        List<Done> done = base.done();
+        String text = v.text();
+        long number = v.electorsNumber();
+        job.refusal = null;
+        if (job.electors != null && decided && base.before().isEmpty() && !same(electors, job.electors)) {
+            before = electors;
+            electors = step(electors, job.electors);
+            number++;
+        }
+        if (job.change != Change.READ && !base.has(set.name(), boot, job.number)) {
+            if (job.tried && (v.epoch() != job.triedEpoch
+                    || v.version() - job.triedVersion >= Kept.MOST_DONE)) {
+                finish(new Result(Result.Kind.NO_MAJORITY, known(),     // too long ago to tell whether it is in
+                    new NoMajority("a change met others for too long")));
+                return null;
+            }
+            try {
+                text = job.change.apply(v);
+                int bytes = text.getBytes(StandardCharsets.UTF_8).length;
+                if (bytes > MOST_TEXT) {
+                    throw new TooLarge(bytes, MOST_TEXT);
+                }
+            } catch (Refused | TooLarge | RuntimeException e) {
+                text = v.text();
+                job.refusal = e;                                 // told once what it rests on is decided
+            }
+        }
+        if (text.equals(v.text()) && before.equals(base.before()) && electors.equals(v.electors())) {
+            return base;
+        }
+        if (!text.equals(v.text())) {
+            done = base.doneWith(new Done(set.name(), boot, job.number, v.version() + 1));
+            if (!job.tried) {
+                job.tried = true;
+                job.triedEpoch = v.epoch();
+                job.triedVersion = v.version();
+            }
+        }
+        return new Kept(new Value(v.epoch(), v.version() + 1, text, number, electors), before, done);
+    }
+
+    /** One elector more, or where there is none to add, one less. */
+    private static List<String> step(List<String> from, List<String> to) {
+        List<String> next = new ArrayList<>(from);
+        for (String name : to) {
+            if (!from.contains(name)) {
+                next.add(name);
+                return next;
+            }
+        }
+        next.remove(from.stream().filter(n -> !to.contains(n)).findFirst().orElseThrow());
+        return next;
+    }
+
+    private void tryDecide(long at) {
+        open.accepted.entrySet().removeIf(e -> !current(e.getKey(), e.getValue()));
+        if (!majorities(open.lists, open.accepted.keySet())) {
+            return;
+        }
+        Held held = new Held(open.ballot, open.next);
+        Job job = jobs.peek();
+        open = null;
+        tries = 0;
+        tryAt = at;
+        decided(held);
+        Set<String> all = others(held.kept().lists());
+        all.addAll(members);
+        all.forEach(n -> send(n, Kind.DECIDED, held.at(), held));
+        Kept kept = held.kept();
+        if (job.electors != null && !job.founding
+                && !(kept.before().isEmpty() && same(kept.value().electors(), job.electors))) {
+            return;                                              // another step is to follow
+        }
+        finish(new Result(job.refusal != null ? Result.Kind.REFUSED : Result.Kind.DECIDED, kept.value(),
+            job.refusal));
+    }
+
+    private void finish(Result result) {
+        open = null;
+        tries = 0;
+        jobs.remove().done.accept(result);
+    }
 }
