--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -124,7 +124,8 @@
             in.number("least_capacity", d.leastCapacity(), 0, 1),
             in.whole("quiet_ms", d.quietMs(), 0, 3_600_000),
             in.whole("back_ms", d.backMs(), 100, 86_400_000),
-            in.number("worse_refused", d.worseRefused(), 0, 1), in.number("worse_errors", d.worseErrors(), 0, 1),
+            in.number("worse_refused", d.worseRefused(), 0, 1),
+            in.number("worse_errors", d.worseErrors(), 0, 1),
             in.number("worse_wait", d.worseWait(), 0, 1000));
     }
 
--- a/src/main/java/maplespread/group/Status.java
+++ b/src/main/java/maplespread/group/Status.java
@@ -6,8 +6,8 @@
 
 /**
  * What one dispatcher says of itself. {@code run}: its process, by when it began in Unix milliseconds; {@code
- * number}: grows with each word of a run; {@code zone}: its own, by name; shares and the mean time from taken to
- * answered of the last seconds, with the count of answers that they stand on.
+ * number}: grows with each word of a run; {@code zone}: its own, by name; shares and the mean time from taken
+ * to answered of the last seconds, with the count of answers that they stand on.
  */
 public record Status(long run, long number, String version, String zone, Phase phase, double refused,
         double errors, double waitMs, long samples) {
@@ -23,7 +23,8 @@
         byte[] z = text(zone);
         return ByteBuffer.allocate(1 + 2 * 8 + 1 + 4 * 8 + 2 + v.length + z.length).put(FORM).putLong(run)
             .putLong(number).put((byte) phase.ordinal()).putDouble(refused).putDouble(errors)
-            .putDouble(waitMs).putLong(samples).put((byte) v.length).put(v).put((byte) z.length).put(z).array();
+            .putDouble(waitMs).putLong(samples).put((byte) v.length).put(v).put((byte) z.length).put(z)
+            .array();
     }
 
     private static byte[] text(String text) {
--- a/src/main/java/maplespread/group/Statuses.java
+++ b/src/main/java/maplespread/group/Statuses.java
@@ -12,7 +12,7 @@
 
 /** The newest status of each member, and this one's own, which is told about twice a second. */
 public final class Statuses {
-    private static final int MOST_A_ROUND = 64;                  // so many are told at once; then the next ones
+    private static final int MOST_A_ROUND = 64;                  // are told at once; then the next ones
     private static final int WINDOW = 20;                        // rounds that a status looks back on
     private static final int MOST_HELD = 4096;
 
@@ -69,7 +69,8 @@
         if (status == null || newest.size() >= MOST_HELD && !newest.containsKey(from)) {
             return;
         }
-        newest.merge(from, new Heard(status, atMs), (was, now) -> now.status().after(was.status()) ? now : was);
+        newest.merge(from, new Heard(status, atMs),
+            (was, now) -> now.status().after(was.status()) ? now : was);
     }
 
     public Optional<Heard> of(String member) {
--- a/src/main/java/maplespread/registry/client/RegistryAdmin.java
+++ b/src/main/java/maplespread/registry/client/RegistryAdmin.java
@@ -143,8 +143,8 @@
     }
 
     /**
-     * Has this run of the worker drain by a leave; false where it is not there, or the leave was taken back. The
-     * mark that {@link #recall} leaves at the worker is read and heeded in one swap with the drain.
+     * Has this run of the worker drain by a leave; false where it is not there, or the leave was taken back.
+     * The mark that {@link #recall} leaves at the worker is read and heeded in one swap with the drain.
      */
     public boolean drain(String worker, long run, long leave) throws NotDone {
         return change(worker, value -> {
@@ -157,8 +157,8 @@
     }
 
     /**
-     * Has this run of the worker serve on, or again, and marks the leave as taken back; false where that run is
-     * not there. After it no {@link #drain(String, long, long)} by that leave or an earlier one is made.
+     * Has this run of the worker serve on, or again, and marks the leave as taken back; false where that run
+     * is not there. After it no {@link #drain(String, long, long)} by that leave or an earlier one is made.
      */
     public boolean recall(String worker, long run, long leave) throws NotDone {
         return change(worker, value -> {
--- a/src/main/java/maplespread/release/client/Releases.java
+++ b/src/main/java/maplespread/release/client/Releases.java
@@ -33,8 +33,8 @@
 import maplespread.release.View;
 
 /**
- * This instance's part in releases: one thread looks, proposes and carries orders out; the console's calls wait
- * on threads of their own, a few at once, so that those that need no fleet always have a place.
+ * This instance's part in releases: one thread looks, proposes and carries orders out; the console's calls
+ * wait on threads of their own, a few at once, so that those that need no fleet always have a place.
  */
 public final class Releases implements Closeable {
     /** What it stands on. */
--- a/src/main/java/maplespread/release/client/Sight.java
+++ b/src/main/java/maplespread/release/client/Sight.java
@@ -17,8 +17,8 @@
 import maplespread.routes.RouteSink;
 
 /**
- * What this instance sees: the dispatchers by the membership and by what they say of themselves, the workers by
- * the whole route set, a subset or not.
+ * What this instance sees: the dispatchers by the membership and by what they say of themselves, the workers
+ * by the whole route set, a subset or not.
  */
 public final class Sight implements RouteSink {
     private static final long FRESH_MS = 3_000;                  // a word older than this says nothing
@@ -59,8 +59,8 @@
         for (Update u : members) {
             Optional<Status> said = statuses.of(u.name()).filter(h -> nowMs - h.atMs() <= FRESH_MS)
                 .map(Statuses.Heard::status).filter(s -> s.run() == u.boot());
-            all.add(new Member(u.name(), u.address(), Role.DISPATCHER, said.map(Status::zone).orElse(""), "", "",
-                u.boot(), said.map(Status::version).orElse(""), status(u, said), 0, true));
+            all.add(new Member(u.name(), u.address(), Role.DISPATCHER, said.map(Status::zone).orElse(""), "",
+                "", u.boot(), said.map(Status::version).orElse(""), status(u, said), 0, true));
             if (said.isPresent()) {
                 Status s = said.get();
                 refused += s.refused() * s.samples();
@@ -95,8 +95,8 @@
         double warmth = warm ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.warmWithinMs();
         return new Member(r.worker(), r.address(), Role.WORKER, name(config.names().zones(), r.zone()),
             name(config.names().kinds(), r.kind()), Integer.toString(r.cell()), (long) r.startedAtMs(), "",
-            r.state() == Route.State.SERVING ? View.Status.SERVING : View.Status.DRAINING, r.weight() * warmth,
-            warm);
+            r.state() == Route.State.SERVING ? View.Status.SERVING : View.Status.DRAINING,
+            r.weight() * warmth, warm);
     }
 
     private static String name(List<String> names, int place) {
--- a/src/main/java/maplespread/release/client/Workers.java
+++ b/src/main/java/maplespread/release/client/Workers.java
@@ -14,8 +14,9 @@
 import maplespread.release.Order;
 
 /**
- * Workers are drained, and taken back, at the registry that the routes come from, where it holds keys that can
- * be changed. One order after the other, on a thread of its own: a slow registry must not hold up the release.
+ * Workers are drained, and taken back, at the registry that the routes come from, where it holds keys that
+ * can be changed. One order after the other, on a thread of its own: a slow registry must not hold up the
+ * release.
  */
 public final class Workers implements Closeable {
     private static final long STACK = 144 * 1024;
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -100,7 +100,7 @@
         String secret = "ab".repeat(16);
         Files.writeString(dir.resolve("short"), "1 abcd");
         Files.writeString(dir.resolve("k7"), "7 " + secret + "\n");
-        Operator o = read(GROUP.replace("'deploy/group.key'", "'" + dir.resolve("k7") + "','deploy/group.key'"));
+        Operator o = read(GROUP.replace("['deploy", "['" + dir.resolve("k7") + "','deploy"));
         assertEquals(List.of(7, 1), List.copyOf(o.group().keys().byId().keySet()));
         assertEquals(16, o.group().keys().byId().get(7).length);
         assertTrue(o.toString().contains("keys [7, 1]") && !o.toString().contains(secret));
--- /dev/null
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -0,0 +1,240 @@
+package maplespread.net;
+
+import static maplespread.net.Loopback.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import maplespread.Server;
+import maplespread.config.Config;
+import maplespread.config.ConfigError;
+import maplespread.config.ConfigReader;
+import maplespread.config.Operator;
+import maplespread.config.OperatorReader;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpParser;
+import maplespread.net.Loopback.Peer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three dispatchers with a group on loopback. */
+class ReleaseStoryTest {
+    private static final int N = 3;
+    @TempDir Path dir;
+    private final int[] ports = new int[N];
+    private final Server[] servers = new Server[N];
+    private final List<Server> all = new CopyOnWriteArrayList<>();
+    private Peer discovery;
+    private Peer worker;
+    private volatile String limits = "'dispatchers_out':1,'quiet_ms':100";
+    private volatile String keys;
+
+    @BeforeEach void begin() throws Exception {
+        discovery = new Peer(call -> {
+            call.open();
+            call.line("");
+        });
+        worker = new Peer(call -> { });
+        DatagramSocket[] taken = new DatagramSocket[N];
+        for (int i = 0; i < N; i++) {
+            taken[i] = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+            ports[i] = taken[i].getLocalPort();
+        }
+        keys = "'" + Files.writeString(dir.resolve("k1"), "1 " + "11".repeat(16)) + "'";
+        for (int i = 0; i < N; i++) {
+            taken[i].close();
+            servers[i] = server(i);
+        }
+        until("all know all", () -> everywhere("agreed", "members", N + 1));
+    }
+
+    @AfterEach void end() throws IOException {
+        all.forEach(Server::stop);
+        discovery.close();
+        worker.close();
+    }
+
+    private Operator operator(int i) throws ConfigError {
+        return OperatorReader.text(("{'group':{'listen':'127.0.0.1:" + ports[i] + "','seeds':['127.0.0.1:"
+            + ports[0] + "','127.0.0.1:" + ports[1] + "'],'electors':['n0','n1','n2'],'key_files':[" + keys
+            + "],'period_ms':100},'release':{" + limits + "}}").replace('\'', '"'));
+    }
+
+    private Server server(int i) throws Exception {
+        Config config = Loopback.console(ConfigReader.read(Loopback.config(discovery.address(), worker)
+            .replace("\"name\":\"n\"", "\"name\":\"n" + i + "\""), Map.of()));
+        Server server = new Server(config, operator(i), new Server.Source() {
+            @Override public Config read() {
+                return config;
+            }
+
+            @Override public Operator operator() throws ConfigError {
+                return ReleaseStoryTest.this.operator(i);
+            }
+        });
+        all.add(server);
+        server.start();
+        return server;
+    }
+
+    private record Said(int status, String text) { }
+
+    private Said call(int i, String line, String body) {
+        try (HttpConnection link = Loopback.dialConsole(servers[i])) {
+            ByteArrayOutputStream said = new ByteArrayOutputStream();
+            link.send((line + " HTTP/1.1\r\nHost: c\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes());
+            HttpParser parser = HttpParser.responseOrError(1 << 20, said::write);
+            link.receive(parser, Loopback.LIMIT_MS);
+            return new Said(parser.head().status(), said.toString());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private Said post(int i, String path) {
+        return call(i, "POST " + path, "");
+    }
+
+    private JsonObject shown(int i, String path) {
+        return JsonParser.parseString(call(i, "GET " + path, "").text()).getAsJsonObject();
+    }
+
+    private boolean everywhere(String part, String key, int size) {
+        for (int i = 0; i < N; i++) {
+            if (shown(i, "/admin/release").getAsJsonObject(part).getAsJsonObject(key).size() != size) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean out(int i) {
+        return servers[i].lifecycle().quiesced();
+    }
+
+    /** Which one has been drained, as seen from outside; at no look more than one. */
+    private int oneOut() {
+        int[] one = {-1};
+        until("one drains", () -> {
+            for (int i = 0; i < N; i++) {
+                one[0] = out(i) ? i : one[0];
+            }
+            long n = List.of(0, 1, 2).stream().filter(this::out).count();
+            assertTrue(n <= 1, "out at once: " + n);
+            return n == 1;
+        });
+        return one[0];
+    }
+
+    private boolean phase(String wanted) {
+        for (int i = 0; i < N; i++) {
+            if (!shown(i, "/admin/release").get("phase").getAsString().equals(wanted)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Test void aReleaseDrainsOneAtATimeAndAHaltStopsIt() throws Exception {
+        assertEquals(409, call(1, "POST /admin/release", "{\"id\":\"r1\"}").status(), "names nothing");
+        assertEquals(200, call(1, "POST /admin/release", "{\"id\":\"r1\",\"dispatchers\":true}").status());
+        int first = oneOut();
+        assertEquals(1, shown(first, "/admin/release").getAsJsonArray("out").size());
+        Said refused = post((first + 1) % N, "/admin/quiesce");
+        assertTrue(refused.status() == 409 && refused.text().contains("r1 is on; still works: "),
+            refused.toString());
+        servers[first].stop();                                   // its process ends, another one comes
+        servers[first] = server(first);
+        int second = oneOut();
+        assertTrue(second != first);
+
+        int third = N - first - second;
+        assertEquals(400, post(third, "/admin/release/halt").status(), "without a why");
+        assertEquals(200, post(third, "/admin/release/halt?why=looks+bad").status());
+        Server old = servers[second];
+        servers[second] = server(second);                        // an upgrade in place: the address is held
+        assertEquals("false", shown(second, "/admin/group").get("joined").toString());
+        old.stop();
+        until("it is back, and nobody else has leave", () -> everywhere("agreed", "leaves", 0));
+        until("halted everywhere", () -> phase("HALTED"));
+        until("the drivers wait for an operator", () -> {
+            for (int i = 0; i < N; i++) {
+                if (!shown(i, "/admin/release").get("waits").getAsString().contains("looks bad")) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        assertTrue(!out(0) && !out(1) && !out(2));
+        assertEquals(409, post(third, "/admin/quiesce").status(), "no leave by hand either");
+
+        assertEquals(200, post(first, "/admin/release/go-on?why=was+nothing").status());
+        assertEquals(third, oneOut());
+        servers[third].stop();
+        servers[third] = server(third);
+        until("done", () -> phase("DONE"));
+        assertEquals(409, call(0, "POST /admin/release", "{\"id\":\"r1\",\"dispatchers\":true}").status());
+    }
+
+    @Test void aDrainByCallNeedsLeaveOrAWordAndFilesAreTakenUpLive() throws Exception {
+        assertEquals(200, post(0, "/admin/quiesce").status());
+        assertTrue(out(0));
+        Said refused = post(1, "/admin/quiesce");
+        assertTrue(refused.status() == 409 && refused.text().contains("2 of the dispatchers would be out"),
+            refused.toString());
+        assertTrue(!out(1));
+        Said forced = post(1, "/admin/quiesce?force=fire");
+        assertTrue(forced.status() == 200 && out(1), forced.toString());
+        until("it counts as out", () -> shown(2, "/admin/release").getAsJsonArray("out").size() == 2);
+        assertEquals(200, post(0, "/admin/resume").status());
+        assertEquals(200, post(1, "/admin/resume").status());
+        until("nobody is out", () -> everywhere("agreed", "leaves", 0)
+            && everywhere("agreed", "accidents", 0));
+
+        keys = "'" + Files.writeString(dir.resolve("k2"), "2 " + "22".repeat(16)) + "'," + keys;
+        limits = "'dispatchers_out':2,'quiet_ms':50";
+        for (Server s : servers) {
+            s.reload();
+        }
+        until("the new limits count", () -> {
+            for (int i = 0; i < N; i++) {
+                JsonObject agreed = shown(i, "/admin/release").getAsJsonObject("agreed");
+                if (agreed.getAsJsonObject("limits").get("dispatchersOut").getAsDouble() != 2) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        until("two may be out now", () -> post(0, "/admin/quiesce").status() == 200
+            && post(1, "/admin/quiesce").status() == 200);
+        assertEquals(409, post(2, "/admin/quiesce").status());
+    }
+
+    /** With no majority nothing can be agreed: no drain by call, but service and the other calls go on. */
+    @Test void withoutAMajorityServiceGoesOnAndADrainNeedsAWord() {
+        servers[1].stop();
+        servers[2].stop();
+        long before = System.nanoTime();
+        Said refused = post(0, "/admin/quiesce");
+        assertEquals(409, refused.status(), refused.text());
+        assertTrue(System.nanoTime() - before < 2_500_000_000L, "a call waits 2 s at most");
+        assertEquals(200, call(0, "GET /admin/health", "").status());
+        assertTrue(!out(0));
+        Said forced = post(0, "/admin/quiesce?force=fire");
+        assertTrue(forced.status() == 200 && forced.text().contains("could not be told") && out(0),
+            forced.toString());
+    }
+}
