--- a/src/test/java/maplespread/net/ReleaseStoryTest.java
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -127,16 +128,18 @@
 
     /** Which one has been drained, as seen from outside; at no look more than one. */
     private int oneOut() {
-        int[] one = {-1};
+        List<Integer> now = new ArrayList<>();
         until("one drains", () -> {
+            now.clear();
             for (int i = 0; i < N; i++) {
-                one[0] = out(i) ? i : one[0];
+                if (out(i)) {
+                    now.add(i);
+                }
             }
-            long n = List.of(0, 1, 2).stream().filter(this::out).count();
-            assertTrue(n <= 1, "out at once: " + n);
-            return n == 1;
+            assertTrue(now.size() <= 1, "out at once: " + now);
+            return now.size() == 1;
         });
-        return one[0];
+        return now.get(0);
     }
 
     private boolean phase(String wanted) {
