--- a/src/main/java/maplespread/membership/Update.java
+++ b/src/main/java/maplespread/membership/Update.java
@@ -9,7 +9,7 @@
     /** SUSPECT: it has not answered, and may yet refute that. LEFT: it has said so itself. */
     public enum State { ALIVE, SUSPECT, DEAD, LEFT }
 
-    boolean gone() {
+    public boolean gone() {
         return state == State.DEAD || state == State.LEFT;
     }
 
