--- /dev/null
+++ b/src/main/java/maplespread/lab/release/EveryOrder.java
@@ -0,0 +1,192 @@
+package maplespread.lab.release;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import maplespread.release.Command;
+import maplespread.release.Commands;
+import maplespread.release.Limits;
+import maplespread.release.Plan;
+import maplespread.release.ReleaseRefused;
+import maplespread.release.State;
+import maplespread.release.State.Leave;
+import maplespread.release.State.Phase;
+import maplespread.release.View;
+import maplespread.release.View.Member;
+import maplespread.release.View.Role;
+import maplespread.release.View.Service;
+import maplespread.release.View.Status;
+
+/**
+ * A release of two dispatchers and two workers, one of each out at the most, in every order of commands,
+ * drains, recalls, crashes, starts and operators' calls up to a depth, breadth first. One coordinator may
+ * freeze at any moment, and from then on act on what it saw then, in any way and as often as it likes.
+ */
+public final class EveryOrder {
+    /** A member as it truly is; {@code leave}: by which it is out, or 0. */
+    private record Machine(long run, String version, Status is, long leave, long recalled) { }
+
+    private record World(State state, List<Machine> truth, World frozen) { }
+
+    private static final List<String> IDS = List.of("d0", "d1", "w0", "w1");
+    private static final int MOST_RUNS = 3;
+    private static final int MOST_ACTS = 4;
+
+    private final Set<World> met = new HashSet<>();
+    private List<World> next = new ArrayList<>();
+    private String fault = "";
+
+    /** Returns what went wrong, or an empty string. */
+    public String search(int depth) throws ReleaseRefused {
+        Plan plan = new Plan("r", "1", "2", true, true, List.of(), List.of(), List.of(), List.of(), "workers",
+            List.of(), List.of(2), new Limits(1, 1, Limits.ANY, Limits.ANY, 0, 0, 1, 1, 1, 1));
+        List<Machine> truth = new ArrayList<>();
+        IDS.forEach(id -> truth.add(new Machine(1, "1", Status.SERVING, 0, 0)));
+        World first = new World(State.EMPTY, List.copyOf(truth), null);
+        State begun = Commands.begin("op", plan, view(first)).apply(first.state);
+        keep(new World(begun, first.truth, null));
+        for (int d = 0; d < depth && fault.isEmpty(); d++) {
+            List<World> now = next;
+            next = new ArrayList<>();
+            for (World w : now) {
+                after(w);
+            }
+        }
+        return fault;
+    }
+
+    /** Different worlds that were met. */
+    public int worlds() {
+        return met.size();
+    }
+
+    private void keep(World w) {
+        State s = w.state;
+        State bare = new State(s.limits(), s.release(), s.members(), s.leaves(), s.accidents(), s.halt(),
+            s.calm(), s.grants(), s.acts(), s.beats(), s.ended(), List.of());
+        World kept = new World(bare, w.truth, w.frozen);
+        if (met.add(kept)) {
+            next.add(kept);
+        }
+    }
+
+    private static View view(World w) {
+        List<Member> all = new ArrayList<>();
+        for (int i = 0; i < IDS.size(); i++) {
+            Machine m = w.truth.get(i);
+            all.add(new Member(IDS.get(i), "a" + i, i < 2 ? Role.DISPATCHER : Role.WORKER, "z", "k", "", m.run,
+                m.version, m.is, i < 2 ? 0 : 1, true));
+        }
+        return new View(all, Service.NONE);
+    }
+
+    private void after(World w) {
+        if (w.frozen == null) {
+            keep(new World(w.state, w.truth, new World(w.state, w.truth, null)));
+        } else {
+            decide(w, w.frozen);
+        }
+        decide(w, w);
+        for (int i = 0; i < IDS.size(); i++) {
+            Machine m = w.truth.get(i);
+            if (m.is == Status.DOWN) {
+                Phase p = w.state.release().moves();
+                if (m.run < MOST_RUNS) {
+                    machine(w, i, new Machine(m.run + 1, p == Phase.RUNNING ? "2" : "1", Status.SERVING, 0,
+                        m.recalled));
+                }
+                continue;
+            }
+            machine(w, i, new Machine(m.run, m.version, Status.DOWN, m.leave, m.recalled));
+            orders(w, i, w.state.leaves().get(IDS.get(i)));
+            if (w.frozen != null) {
+                orders(w, i, w.frozen.state.leaves().get(IDS.get(i)));
+            }
+        }
+    }
+
+    /** What this leave lets be carried out here, however old the order is. */
+    private void orders(World w, int i, Leave l) {
+        Machine m = w.truth.get(i);
+        if (l == null || l.run() != m.run) {
+            return;
+        }
+        if (m.is == Status.SERVING && l.number() > m.recalled) {
+            machine(w, i, new Machine(m.run, m.version, Status.DRAINING, l.number(), m.recalled));
+        }
+        machine(w, i, new Machine(m.run, m.version, Status.SERVING, 0, Math.max(m.recalled, l.number())));
+    }
+
+    private void machine(World w, int i, Machine m) {
+        List<Machine> truth = new ArrayList<>(w.truth);
+        truth.set(i, m);
+        for (int role = 0; role < 4; role += 2) {
+            check(truth.get(role).leave == 0 || truth.get(role + 1).leave == 0, "both out with leave", w);
+        }
+        keep(new World(w.state, List.copyOf(truth), w.frozen));
+    }
+
+    /** All that one who sees {@code v} may propose, decided in {@code w}. */
+    private void decide(World w, World v) {
+        View view = view(v);
+        long calm = v.state.calm();
+        long acts = v.state.acts();
+        List<String> out = new ArrayList<>();
+        List<Member> serving = new ArrayList<>();
+        for (Member m : view.members()) {
+            Leave held = v.state.leaves().get(m.id());
+            apply(w, false, Commands.leave("x", m.id(), calm, view));
+            if (held != null && m.run() > held.run()) {
+                apply(w, false, Commands.back("x", held.number(), m));
+            }
+            if (held != null && v.truth.get(IDS.indexOf(m.id())).recalled >= held.number()) {
+                apply(w, false, Commands.returned("x", held.number()));
+            }
+            if (m.serving()) {
+                serving.add(m);
+            } else {
+                out.add(m.id());
+            }
+        }
+        apply(w, false, Commands.observe("x", calm, out, serving));
+        apply(w, false, Commands.finish("x", view));
+        apply(w, false, Commands.haltByItself("x", "itself", acts));
+        if (w.state.acts() < MOST_ACTS) {
+            apply(w, false, Commands.halt("op", ""));
+            apply(w, acts == w.state.acts(), Commands.goOn("op", "", acts));
+            apply(w, acts == w.state.acts(), Commands.rollBack("op", "", acts));
+            apply(w, acts == w.state.acts(), Commands.abandon("op", "", acts));
+        }
+    }
+
+    private void apply(World w, boolean mayLift, Command c) {
+        State is;
+        try {
+            is = c.apply(w.state);
+        } catch (ReleaseRefused e) {
+            return;
+        }
+        if (is == w.state) {
+            return;
+        }
+        check(is.grants() == w.state.grants() || w.state.halt() == null, "leave granted after a halt", w);
+        check(mayLift || w.state.halt() == null || is.halt() != null, "a halt lifted by one that knew none", w);
+        for (int role = 0; role < 4; role += 2) {
+            boolean both = is.out().contains(IDS.get(role)) && is.out().contains(IDS.get(role + 1));
+            check(is.grants() == w.state.grants() || !both, "leave granted beyond the sum", w);
+        }
+        w.state.leaves().forEach((id, l) -> {
+            Machine m = w.truth.get(IDS.indexOf(id));
+            check(is.leaves().containsKey(id) || m.run > l.run() || m.recalled >= l.number(),
+                "leave of " + id + " freed though it may be out", w);
+        });
+        keep(new World(is, w.truth, w.frozen));
+    }
+
+    private void check(boolean holds, String otherwise, World w) {
+        if (!holds && fault.isEmpty()) {
+            fault = otherwise + " after " + w;
+        }
+    }
+}
--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -63,7 +63,7 @@
             Draft d = new Draft(now);
             for (Member m : view.members()) {
                 if (m.serving()) {
-                    d.members.put(m.id(), known(m, now.members().get(m.id()), false));
+                    put(d, now, m);
                 }
             }
             for (String name : plan.names()) {
@@ -237,9 +237,7 @@
         if (now.leaves().containsKey(member)) {
             throw refused(Reason.NOT_DUE, member + " has leave");
         }
-        if (seen != now.calm()) {
-            throw refused(Reason.NOT_QUIET, "the fleet has changed since it was looked at");
-        }
+        calm(now, seen);
         Member m = view.member(member);
         if (m == null || !m.serving() || !now.members().containsKey(member)
                 || m.run() < now.members().get(member).run() || now.accidents().containsKey(member)) {
@@ -350,6 +348,11 @@
                     }
                 }
             }
+            for (Member m : view.members()) {
+                if (!left && m.serving() && !now.members().containsKey(m.id())) {
+                    throw refused(Reason.NOT_DUE, m.id() + " has come, and is not told yet");
+                }
+            }
             Draft d = new Draft(now);
             d.release = r.with(left ? Phase.ABANDONED : r.moves() == Phase.RUNNING ? Phase.DONE
                 : Phase.ROLLED_BACK);
@@ -361,10 +364,12 @@
 
     /**
      * Members seen out without leave; members seen serving: an accident of theirs is over, and a later run of
-     * them may be another version.
+     * them may be another version. {@code seen}: the calm number at which the proposer looked; guards against
+     * one that wakes with an old sight.
      */
-    public static Command observe(String by, Collection<String> out, Collection<Member> serving) {
+    public static Command observe(String by, long seen, Collection<String> out, Collection<Member> serving) {
         return now -> {
+            calm(now, seen);
             Draft d = new Draft(now);
             for (String id : out) {
                 if (d.members.containsKey(id) && !d.leaves.containsKey(id)) {
@@ -385,42 +390,26 @@
         };
     }
 
-    /** Members that were not known, or whose full capacity has changed; {@code replaced}: new name to old. */
-    public static Command changeMembers(String by, Collection<Member> put, Map<String, String> replaced) {
+    /**
+     * Members that were not known, or whose full capacity has changed. A later run at the address of a member
+     * of another name has taken its place, with its leave or accident and its turn.
+     */
+    public static Command changeMembers(String by, long seen, Collection<Member> put) {
         return now -> {
+            calm(now, seen);
             Draft d = new Draft(now);
             List<String> fresh = new ArrayList<>();
             for (Member m : put) {
-                Known was = d.members.get(m.id());
-                Known old = d.members.get(replaced.getOrDefault(m.id(), ""));
-                if (was != null) {
-                    if (m.run() >= was.run()) {
-                        d.members.put(m.id(), new Known(was.address(), was.role(), was.zone(), was.kind(),
-                            was.cell(), full(m, was), was.run(), was.changed()));
-                    }
-                } else if (old == null) {
-                    d.members.put(m.id(), known(m, null, judge(now, m, false)));
+                if (put(d, now, m)) {
                     fresh.add(m.id());
-                } else if (m.run() > old.run()) {                // else the view is older than the state
-                    String before = replaced.get(m.id());
-                    d.members.remove(before);
-                    d.members.put(m.id(), known(m, old, judge(now, m, old.changed())));
-                    Leave l = d.leaves.remove(before);
-                    if (l != null) {
-                        d.leaves.put(m.id(), new Leave(l.number(), 0, l.release(), l.why()));
-                    }
-                    Accident a = d.accidents.remove(before);
-                    if (a != null) {
-                        d.accidents.put(m.id(), a);
-                    }
-                    rename(d, before, m.id());
                 }
             }
             if (d.members.equals(now.members())) {
                 return now;
             }
             // A restart has nothing to do with who has just come.
-            fresh.removeIf(id -> now.release() == null || !now.release().plan().byVersion()
+            fresh.removeIf(id -> now.release() == null || now.release().moves() == Phase.ABANDONED
+                || now.release().moves() == Phase.ROLLED_BACK || !now.release().plan().byVersion()
                 || !now.release().plan().names(id, d.members.get(id)));
             if (!fresh.isEmpty()) {
                 List<List<String>> steps = new ArrayList<>(d.release.steps());
@@ -431,6 +420,43 @@
         };
     }
 
+    /** Returns whether it is one more than before. */
+    private static boolean put(Draft d, State now, Member m) {
+        Known was = d.members.get(m.id());
+        if (was != null) {
+            if (m.run() >= was.run()) {
+                d.members.put(m.id(), new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(), full(m, was),
+                    was.run(), was.changed()));
+            }
+            return false;
+        }
+        String old = "";
+        for (Map.Entry<String, Known> k : d.members.entrySet()) {
+            if (k.getValue().role() == m.role() && k.getValue().address().equals(m.address())) {
+                old = k.getKey();
+            }
+        }
+        if (old.isEmpty()) {
+            d.members.put(m.id(), known(m, null, judge(now, m, false)));
+            return true;
+        }
+        Known k = d.members.get(old);
+        if (m.run() > k.run()) {                                 // else the view is older than the state
+            d.members.remove(old);
+            d.members.put(m.id(), known(m, k, judge(now, m, k.changed())));
+            Leave l = d.leaves.remove(old);
+            if (l != null) {
+                d.leaves.put(m.id(), new Leave(l.number(), 0, l.release(), l.why()));
+            }
+            Accident a = d.accidents.remove(old);
+            if (a != null) {
+                d.accidents.put(m.id(), a);
+            }
+            rename(d, old, m.id());
+        }
+        return false;
+    }
+
     /** Somebody has had a majority; see {@link Driver}. */
     public static Command beat(long seen) {
         return now -> {
@@ -491,6 +517,12 @@
         }
     }
 
+    private static void calm(State now, long seen) throws ReleaseRefused {
+        if (now.calm() != seen) {
+            throw refused(Reason.NOT_QUIET, "the fleet has changed since it was looked at");
+        }
+    }
+
     private static ReleaseRefused refused(Reason reason, String wrong) {
         return new ReleaseRefused(reason, wrong);
     }
--- a/src/main/java/maplespread/release/Driver.java
+++ b/src/main/java/maplespread/release/Driver.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import maplespread.release.State.Known;
 import maplespread.release.State.Leave;
 import maplespread.release.State.Phase;
@@ -210,37 +209,22 @@
             }
         }
         if (!out.isEmpty() || !serving.isEmpty()) {
-            propose.add(Commands.observe(self, out, serving));
+            propose.add(Commands.observe(self, state.calm(), out, serving));
         }
         List<Member> put = new ArrayList<>();
-        Map<String, String> replaced = new TreeMap<>();
         for (Member m : view.members()) {
             Known k = state.members().get(m.id());
             boolean grown = k != null && m.warm() && m.role() == Role.WORKER && (m.capacity() > k.full() * 1.1
                 || !state.on() && m.capacity() < k.full() * 0.9);
             if (m.serving() && (k == null || grown) && waited("put " + m.id(), set.missMs, true)) {
                 put.add(m);
-                if (k == null) {
-                    replaces(m, replaced);
-                }
             }
         }
         if (!put.isEmpty()) {
-            propose.add(Commands.changeMembers(self, put, replaced));
+            propose.add(Commands.changeMembers(self, state.calm(), put));
         }
     }
 
-    /** Another of its role stood at this address, and is not there any more. */
-    private void replaces(Member m, Map<String, String> replaced) {
-        state.members().forEach((id, k) -> {
-            Member old = view.member(id);
-            if (k.role() == m.role() && k.address().equals(m.address()) && (old == null || !old.serving())
-                    && m.run() > k.run()) {
-                replaced.put(m.id(), id);
-            }
-        });
-    }
-
     private void back(List<Command> propose) {
         state.leaves().forEach((id, l) -> {
             Member m = view.member(id);
