--- a/src/test/java/maplespread/net/ReleaseStoryTest.java
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -40,6 +40,7 @@
     private Peer discovery;
     private Peer worker;
     private volatile String limits = "'dispatchers_out':1,'quiet_ms':100";
+    private volatile String electors = "'n0','n1','n2'";
     private volatile String keys;
 
     @BeforeEach void begin() throws Exception {
@@ -69,7 +70,7 @@
 
     private Operator operator(int i) throws ConfigError {
         return OperatorReader.text(("{'group':{'listen':'127.0.0.1:" + ports[i] + "','seeds':['127.0.0.1:"
-            + ports[0] + "','127.0.0.1:" + ports[1] + "'],'electors':['n0','n1','n2'],'key_files':[" + keys
+            + ports[0] + "','127.0.0.1:" + ports[1] + "'],'electors':[" + electors + "],'key_files':[" + keys
             + "],'period_ms':100},'release':{" + limits + "}}").replace('\'', '"'));
     }
 
@@ -224,6 +225,19 @@
         until("two may be out now", () -> post(0, "/admin/quiesce").status() == 200
             && post(1, "/admin/quiesce").status() == 200);
         assertEquals(409, post(2, "/admin/quiesce").status());
+
+        electors = "'n0','n1'";                                  // by one file alone, as the first of three
+        servers[0].reload();
+        until("another list of electors decides", () -> {
+            for (int i = 0; i < N; i++) {
+                if (shown(i, "/admin/group").getAsJsonArray("electors").size() != 2) {
+                    return false;
+                }
+            }
+            return true;
+        });
+        assertEquals(400, post(2, "/admin/group/found").status(), "without a why");
+        assertEquals(409, post(2, "/admin/group/found?why=test").status(), "a majority knows the value");
     }
 
     /** With no majority nothing can be agreed: no drain by call, but service and the other calls go on. */
