--- a/src/main/java/maplespread/registry/client/RegistryAdmin.java
+++ b/src/main/java/maplespread/registry/client/RegistryAdmin.java
@@ -143,8 +143,9 @@
     }
 
     /**
-     * Has this run of the worker drain by a leave; false where it is not there, or the leave was taken back.
-     * The mark that {@link #recall} leaves at the worker is read and heeded in one swap with the drain.
+     * Has this run of the worker (its start, 1: long ago) drain by a leave; false where it is not there, or the
+     * leave was taken back. The mark that {@link #recall} leaves at the worker is read and heeded in one swap
+     * with the drain.
      */
     public boolean drain(String worker, long run, long leave) throws NotDone {
         return change(worker, value -> {
@@ -172,7 +173,7 @@
     }
 
     private static long run(JsonObject value) {
-        return value.has("startedAtMs") ? value.get("startedAtMs").getAsLong() : 0;
+        return Math.max(1, value.has("startedAtMs") ? value.get("startedAtMs").getAsLong() : 0);
     }
 
     private static long mark(JsonObject value) {
--- a/src/main/java/maplespread/release/client/Releases.java
+++ b/src/main/java/maplespread/release/client/Releases.java
@@ -4,7 +4,6 @@
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.io.Closeable;
 import java.util.HashSet;
 import java.util.Map;
@@ -218,7 +217,8 @@
         return leave != null && leave.number() == order.leave() && leave.run() == order.run();
     }
 
-    private void ofThisOne(Register register, Order order) {
+    /** A drain, or what takes one back, of this very instance. */
+    void ofThisOne(Register register, Order order) {
         boolean drain = order instanceof Order.Drain;
         if (order.run() != fleet.run() || drain && !stands(register, order, PROPOSE_MS)) {
             return;
@@ -437,7 +437,7 @@
             wanted.forEach(hand::addProperty);
         }
         all.add("wanted_by_hand", hand);
-        all.add("agreed", JsonParser.parseString(now.text()));
+        all.add("agreed", GSON.toJsonTree(now));
         return GSON.toJson(all);
     }
 }
--- a/src/main/java/maplespread/release/client/Sight.java
+++ b/src/main/java/maplespread/release/client/Sight.java
@@ -94,7 +94,8 @@
         boolean warm = age >= rules.warmWithinMs();
         double warmth = warm ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.warmWithinMs();
         return new Member(r.worker(), r.address(), Role.WORKER, name(config.names().zones(), r.zone()),
-            name(config.names().kinds(), r.kind()), Integer.toString(r.cell()), (long) r.startedAtMs(), "",
+            name(config.names().kinds(), r.kind()), Integer.toString(r.cell()),
+            Math.max(1, (long) r.startedAtMs()), "",
             r.state() == Route.State.SERVING ? View.Status.SERVING : View.Status.DRAINING,
             r.weight() * warmth, warm);
     }
--- /dev/null
+++ b/src/test/java/maplespread/PlainStartTest.java
@@ -0,0 +1,38 @@
+package maplespread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PlainStartTest {
+    /** Without operators' keys and a console nothing of these is loaded, nor of the command line. */
+    @Test
+    void whatIsOffIsNotLoaded(@TempDir Path dir) throws Exception {
+        Path loaded = dir.resolve("loaded");
+        ProcessBuilder call = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx40m",
+            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xlog:class+load:file=" + loaded, "-cp",
+            System.getProperty("java.class.path"), "maplespread.Main", "rehearse");
+        call.environment().keySet().removeIf(k -> k.startsWith("BALANCER") || k.equals("JAVA_TOOL_OPTIONS"));
+        call.environment().put("BALANCER_CONFIG", "example/config.json");
+        call.environment().put("BALANCER_LISTEN", "127.0.0.1:0");
+        Process process = call.redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
+        try {
+            assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        } finally {
+            process.destroyForcibly();
+        }
+        assertEquals(0, process.exitValue(), Files.readString(dir.resolve("log")));
+        List<String> all = Files.readAllLines(loaded);
+        assertTrue(all.stream().anyMatch(l -> l.contains(" maplespread.parts.Parts ")), "it is written down");
+        List<String> off = all.stream().filter(l -> l.matches(".* (picocli|org[.]HdrHistogram|maplespread[.]("
+            + "agreement|group|release|membership|faults|subset|fair|registry|console|upgrade|cli|lab"
+            + "|parts[.]\\w+Part\\b|config[.]GroupSettings))\\b.*")).toList();
+        assertEquals(List.of(), off);
+    }
+}
