--- a/src/main/java/maplespread/agreement/Agreement.java
+++ b/src/main/java/maplespread/agreement/Agreement.java
@@ -26,11 +26,12 @@
     /** Most bytes of a value's text, as UTF-8. */
     public static final int MOST_TEXT = 48 * 1024;
     private static final int MOST_RUNS = 512;
+    private static final int LOST_WAITS = 4;                     // before a majority is called lost
 
     /** What a caller asked for; one is in work at a time. */
     private static final class Job {
         final Change change;                                     // READ with the other two
-        final List<String> electors;                             // to move to, or to found with; null: neither
+        final List<String> electors;                             // to move to or found with; null: neither
         final boolean founding;
         final long number, giveUpAt;
         final Consumer<Result> done;
@@ -82,7 +83,7 @@
     private Held accepted;
     private Held known;                                          // decided
     private final Map<String, Word> answers = new TreeMap<>();   // while blind
-    private final Map<String, Long> empty = new TreeMap<>();     // runs that told this one that they kept nothing
+    private final Map<String, Long> empty = new TreeMap<>();     // runs that kept nothing when asked
     private long askAt, askWait;
     private long newsAt, staleSince;
     // the proposer
@@ -234,7 +235,8 @@
     /** Whoever proposed what is kept here may be gone: after a while an elector finishes it. */
     private void nudge(long at) {
         boolean stale = !blind && accepted != null && names(accepted.kept().lists()).contains(set.name())
-            && (known == null || !known.kept().equals(accepted.kept()) || !accepted.kept().before().isEmpty());
+            && (known == null || !known.kept().equals(accepted.kept())
+                || !accepted.kept().before().isEmpty());
         if (!stale || !jobs.isEmpty()) {
             staleSince = Long.MAX_VALUE;
         } else if (staleSince == Long.MAX_VALUE) {
@@ -417,7 +419,8 @@
                     n.equals(set.name()) || current(n, empty.getOrDefault(n, -1L)))) {
             // No elector had taken anything when it was asked; what it did since, it did knowing of this run.
             see(null, top, "new");
-        } else if (newest != null && answers.keySet().containsAll(others(lists))) {
+        } else if (newest != null && at - since > LOST_WAITS * set.mostRetryMs()
+                && answers.keySet().containsAll(others(lists))) {
             warn("agreement.lost", "epoch", newest.kept().value().epoch(), "electors", lists);
         }
     }
@@ -516,7 +519,7 @@
 
     private void begin(long at) {
         Job job = jobs.peek();
-        Ballot after = Ballot.later(Ballot.later(highest, promised), known == null ? Ballot.NONE : known.at());
+        Ballot after = Ballot.later(highest, promised);
         long epoch = after.epoch();
         if (job.founding) {
             epoch = Math.max(job.triedEpoch, epoch + 1);
@@ -631,8 +634,9 @@
             }
         });
         if (majorities(lists(newest), sighted)) {
-            finish(new Result(Result.Kind.REFUSED, known(), new Refused("a majority of the electors is sighted",
-                "changes are decided as always", "nothing need be founded; electors are changed by call")));
+            finish(new Result(Result.Kind.REFUSED, known(), new Refused(
+                "a majority of the electors is sighted", "changes are decided as always",
+                "nothing need be founded; electors are changed by call")));
             return null;
         }
         if (!job.tried) {
@@ -663,8 +667,8 @@
         if (job.change != Change.READ && !base.has(set.name(), boot, job.number)) {
             if (job.tried && (v.epoch() != job.triedEpoch
                     || v.version() - job.triedVersion >= Kept.MOST_DONE)) {
-                finish(new Result(Result.Kind.NO_MAJORITY, known(),     // too long ago to tell whether it is in
-                    new NoMajority("a change met others for too long")));
+                finish(new Result(Result.Kind.NO_MAJORITY, known(),
+                    new NoMajority("a change met others for so long that none can tell whether it is in")));
                 return null;
             }
             try {
--- a/src/main/java/maplespread/agreement/Words.java
+++ b/src/main/java/maplespread/agreement/Words.java
@@ -85,7 +85,8 @@
     }
 
     private static int size(Word w) {
-        int size = FIXED + 3 * (w.from().length() + w.ballot().name().length() + w.promised().name().length());
+        int size = FIXED + 3 * (w.from().length() + w.ballot().name().length()
+            + w.promised().name().length());
         for (Map<String, Long> m : List.of(w.runs(), w.quorum())) {
             size += m.keySet().stream().mapToInt(n -> 12 + 3 * n.length()).sum();
         }
--- a/src/main/java/maplespread/agreement/client/Register.java
+++ b/src/main/java/maplespread/agreement/client/Register.java
@@ -132,7 +132,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return new Result(Result.Kind.NO_MAJORITY, known(), e);
-        } catch (ExecutionException | TimeoutException e) {      // closed meanwhile, or the process stood still
+        } catch (ExecutionException | TimeoutException e) {      // closed meanwhile, or stood still
             return new Result(Result.Kind.NO_MAJORITY, known(), e);
         }
     }
--- a/src/main/java/maplespread/agreement/client/package-info.java
+++ b/src/main/java/maplespread/agreement/client/package-info.java
@@ -1,2 +1,5 @@
-/** The register for callers that wait, on the group's sockets. May call the agreement, the group and the log. */
+/**
+ * The register for callers that wait, on the group's sockets. May call the agreement, the membership and the
+ * log.
+ */
 package maplespread.agreement.client;
--- a/src/main/java/maplespread/membership/client/Group.java
+++ b/src/main/java/maplespread/membership/client/Group.java
@@ -28,12 +28,14 @@
     private static final int MOST_BYTES = 64 * 1024, BUFFER = 1024 * 1024;
     private static final long STACK = 144 * 1024;
     private static final long FRESH_MS = 30_000;
+    private static final long CLOSE_MS = 1000;
     private final DatagramSocket socket;
     private final Membership core;
     private final Sealed sealed;
     private final List<BiConsumer<Update, Update>> listeners = new CopyOnWriteArrayList<>();
     private final Map<Integer, BiConsumer<String, byte[]>> channels = new ConcurrentHashMap<>();
     private final long boot;
+    private final Thread receives;
     private boolean over;
 
     /** Listens at its own address. */
@@ -68,7 +70,7 @@
                 Event.write(warning, name, pairs);
             }
         });
-        daemon("membership in", this::receive);
+        receives = daemon("membership in", this::receive);
         daemon("membership", this::tick);
     }
 
@@ -86,10 +88,11 @@
         }
     }
 
-    private void daemon(String name, Runnable work) {
+    private static Thread daemon(String name, Runnable work) {
         Thread t = new Thread(null, work, name, STACK);
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     /** Hears of each change, under the group's lock: must be quick, and must not call back. */
@@ -209,5 +212,12 @@
             notifyAll();
         }
         socket.close();
+        if (Thread.currentThread() != receives) {
+            try {
+                receives.join(CLOSE_MS);                    // until then the port may not be free
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 }
