--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -133,8 +133,12 @@
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
         String fleet = Files.readString(Path.of("docs/operators/fleet.md"));
-        for (String part : List.of("subset", "shares", "group", "release")) {
-            JsonObject all = JsonParser.parseString(example).getAsJsonObject();
+        JsonObject all = JsonParser.parseString(example).getAsJsonObject();
+        String release = Files.readString(Path.of("docs/operators/release.md"));
+        for (String key : all.getAsJsonObject("release").keySet()) {
+            assertTrue(release.contains("| `" + key + "` |"), key);
+        }
+        for (String part : List.of("subset", "shares", "group")) {
             for (String key : all.getAsJsonObject(part).keySet()) {
                 assertTrue(fleet.contains("| `" + part + "." + key + "` |"), key);
             }
