--- a/src/main/java/maplespread/lab/release/EveryOrder.java
+++ b/src/main/java/maplespread/lab/release/EveryOrder.java
@@ -89,8 +89,8 @@
         List<Member> all = new ArrayList<>();
         for (int i = 0; i < IDS.size(); i++) {
             Machine m = truth.get(i);
-            all.add(new Member(IDS.get(i), "a" + i, i < 2 ? Role.DISPATCHER : Role.WORKER, "z", "k", "", m.run,
-                m.version, m.is, i < 2 ? 0 : 1, true));
+            all.add(new Member(IDS.get(i), "a" + i, i < 2 ? Role.DISPATCHER : Role.WORKER, "z", "k", "",
+                m.run, m.version, m.is, i < 2 ? 0 : 1, true));
         }
         return new View(all, Service.NONE);
     }
@@ -185,7 +185,8 @@
             return;
         }
         check(is.grants() == w.state.grants() || w.state.halt() == null, "leave granted after a halt", w);
-        check(mayLift || w.state.halt() == null || is.halt() != null, "a halt lifted by one that knew none", w);
+        check(mayLift || w.state.halt() == null || is.halt() != null,
+            "a halt lifted by one that did not know it", w);
         for (int role = 0; role < 4; role += 2) {
             boolean both = is.out().contains(IDS.get(role)) && is.out().contains(IDS.get(role + 1));
             check(is.grants() == w.state.grants() || !both, "leave granted beyond the sum", w);
--- a/src/main/java/maplespread/lab/release/VirtualRelease.java
+++ b/src/main/java/maplespread/lab/release/VirtualRelease.java
@@ -189,8 +189,8 @@
     }
 
     private Machine any(Role role) {
-        List<Machine> all = machines.values().stream().filter(m -> !m.lost && (role == null || m.role == role))
-            .toList();
+        List<Machine> all = machines.values().stream()
+            .filter(m -> !m.lost && (role == null || m.role == role)).toList();
         return all.get(random.nextInt(all.size()));
     }
 
@@ -324,7 +324,7 @@
                 <= limits.dispatchersOut(), "leave granted beyond the sum: " + is.out());
         }
         if (was.halt() != null && is.halt() == null) {
-            check(who.equals("operator") && act == was.acts(), "a halt lifted by " + who + " that knew " + act);
+            check(who.equals("operator") && act == was.acts(), "a halt lifted by " + who + ", late");
         }
         for (Map.Entry<String, Leave> l : was.leaves().entrySet()) {
             Machine m = machines.get(l.getKey());
--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -20,8 +20,8 @@
 
 /**
  * All that can be asked of the state. {@code by}: the instance or operator that asks, for the log;
- * {@code act}: {@link State#acts()} as the operator saw it, so that an act that comes late, or twice, does not
- * undo what was decided since.
+ * {@code act}: {@link State#acts()} as the operator saw it, so that an act that comes late, or twice, does
+ * not undo what was decided since.
  */
 public final class Commands {
     private static final int MOST_TRIES = 3;
@@ -116,7 +116,8 @@
     public static Command goOn(String by, String why, long act) {
         return now -> {
             newest(now, act);
-            return now.halt() == null ? now : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
+            return now.halt() == null ? now
+                : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
         };
     }
 
@@ -180,7 +181,8 @@
 
     /** Throws why a drain without leave is refused; returns where nothing is on, or the member has leave. */
     public static void checkDrain(State now, String member) throws ReleaseRefused {
-        if (!now.leaves().containsKey(member) && (now.on() || !now.inForce().isEmpty() || now.halt() != null)) {
+        boolean bound = now.on() || !now.inForce().isEmpty() || now.halt() != null;
+        if (bound && !now.leaves().containsKey(member)) {
             throw refused(Reason.NO_LEAVE, member + " has no leave to be out, and "
                 + (now.on() ? "release " + now.release().plan().id() + " is on" : "limits are on"));
         }
@@ -189,8 +191,8 @@
     // ------------------------------------------------------------ leave
 
     /**
-     * Leave for a member of the release that is on. {@code seen}: {@link State#calm()} as the proposer saw it,
-     * through the whole quiet time where a step begins.
+     * Leave for a member of the release that is on. {@code seen}: {@link State#calm()} as the proposer saw
+     * it, through the whole quiet time where a step begins.
      */
     public static Command leave(String by, String member, long seen, View view) {
         return now -> {
@@ -204,8 +206,8 @@
                 throw refused(Reason.NOT_DUE, member + " is not to move now");
             }
             Member m = free(now, member, seen, view);
-            if (m.run() > now.members().get(member).run()
-                    && judge(now, m, now.members().get(member).changed()) != now.members().get(member).changed()) {
+            Known k = now.members().get(member);
+            if (m.run() > k.run() && judge(now, m, k.changed()) != k.changed()) {
                 throw refused(Reason.NOT_DUE, member + " has changed without leave, as is soon told");
             }
             Draft d = new Draft(now);
@@ -280,7 +282,8 @@
                 return now;                                      // told before, by another
             }
             if (seen.run() <= held.run() || !seen.serving() || !seen.warm()) {
-                throw refused(Reason.MEMBER, seen.id() + " is not back: " + seen.status() + ", run " + seen.run());
+                throw refused(Reason.MEMBER, seen.id() + " is not back: " + seen.status() + ", run "
+                    + seen.run());
             }
             Draft d = new Draft(now);
             d.calm++;
@@ -288,8 +291,8 @@
             d.accidents.remove(seen.id());
             Known was = now.members().get(seen.id());
             boolean named = now.on() && !held.release().isEmpty();
-            boolean to = named && !now.release().plan().byVersion() ? now.release().moves() != Phase.ROLLING_BACK
-                : judge(now, seen, was.changed());
+            boolean to = named && !now.release().plan().byVersion()
+                ? now.release().moves() != Phase.ROLLING_BACK : judge(now, seen, was.changed());
             d.members.put(seen.id(), known(now, seen, was, to));
             State next = d.done();
             if (!named || !next.todo().contains(seen.id())) {
@@ -321,7 +324,7 @@
         };
     }
 
-    /** The release has reached its end, as the proposer sees it: nobody is out, all are what they should be. */
+    /** The release has reached its end, as the proposer sees it: nobody is out, all are as wanted. */
     public static Command finish(String by, View view) {
         return now -> {
             if (!now.on()) {
@@ -425,8 +428,8 @@
         Known was = d.members.get(m.id());
         if (was != null) {
             if (m.run() >= was.run()) {
-                d.members.put(m.id(), new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(), full(now, m, was),
-                    was.run(), was.changed()));
+                d.members.put(m.id(), new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(),
+                    full(now, m, was), was.run(), was.changed()));
             }
             return false;
         }
--- a/src/main/java/maplespread/release/Driver.java
+++ b/src/main/java/maplespread/release/Driver.java
@@ -24,18 +24,19 @@
     private static final long ENOUGH = 100;                      // answers, for shares and waits to be judged
 
     /**
-     * {@code staggerMs}: by how much later each next instance acts; {@code missMs}: how long one has to be seen
-     * out, or serving, before that is told; {@code beatMs}: how often somebody shows that there is a majority;
-     * {@code splitMs}: without one for so long halts. One that has not looked for {@code missMs} stood still.
+     * {@code staggerMs}: by how much later each next instance acts; {@code missMs}: how long one has to be
+     * seen out, or serving, before that is told; {@code beatMs}: how often somebody shows that there is a
+     * majority; {@code splitMs}: without one for so long halts. One that has not looked for {@code missMs}
+     * stood still.
      */
     public record Settings(long staggerMs, long missMs, long beatMs, long splitMs) {
         public static final Settings DEFAULT = new Settings(250, 1_000, 2_000, 10_000);
     }
 
     /**
-     * {@code propose}: to the register, in this order, a refusal is no fault; {@code orders}: to be carried out;
-     * {@code again}: when to look again at the latest (a new state or view: at once); {@code waits}: for what,
-     * in words, empty where nothing is on.
+     * {@code propose}: to the register, in this order and before the next look, a refusal is no fault;
+     * {@code orders}: to be carried out; {@code again}: when to look again at the latest (a new state or
+     * view: at once); {@code waits}: for what, in words, empty where nothing is on.
      */
     public record Next(List<Command> propose, List<Order> orders, long again, String waits) { }
 
@@ -75,7 +76,7 @@
         state = newest;
         view = seen;
         wanted = new HashSet<>();
-        if (now - lookedAt >= set.missMs) {                      // stood still: what was waited for is not known
+        if (now - lookedAt >= set.missMs) {                      // stood still: no wait was whole
             since.clear();
             calm = -1;
             aloneSince = -1;
--- a/src/main/java/maplespread/release/Plan.java
+++ b/src/main/java/maplespread/release/Plan.java
@@ -21,9 +21,9 @@
  * {@code steps}: sizes of the steps, the last one repeats. {@code limits}: of its own, beside the standing
  * ones, or null.
  */
-public record Plan(String id, String from, String to, boolean dispatchers, boolean workers, List<String> zones,
-        List<String> kinds, List<String> cells, List<String> names, String first, List<String> order,
-        List<Integer> steps, Limits limits) {
+public record Plan(String id, String from, String to, boolean dispatchers, boolean workers,
+        List<String> zones, List<String> kinds, List<String> cells, List<String> names, String first,
+        List<String> order, List<Integer> steps, Limits limits) {
     private static final Set<String> KEYS = Set.of("id", "from", "to", "dispatchers", "workers", "zones",
         "kinds", "cells", "names", "first", "order", "steps", "limits");
     private static final List<String> LIMITS = List.of("dispatchers_out", "workers_out", "workers_out_zone",
@@ -71,8 +71,8 @@
     }
 
     boolean names(String member, Known m) {
-        return (m.role() == Role.DISPATCHER ? dispatchers : workers) && of(zones, m.zone()) && of(kinds, m.kind())
-            && of(cells, m.cell()) && of(names, member);
+        return (m.role() == Role.DISPATCHER ? dispatchers : workers) && of(zones, m.zone())
+            && of(kinds, m.kind()) && of(cells, m.cell()) && of(names, member);
     }
 
     private static boolean of(List<String> list, String x) {
--- a/src/main/java/maplespread/release/State.java
+++ b/src/main/java/maplespread/release/State.java
@@ -62,8 +62,8 @@
      * A member of the fleet. {@code full}: its capacity when warm; {@code run}: the newest that was told;
      * {@code changed}: it is where the release goes to, and would have to move where that is rolled back.
      */
-    public record Known(String address, Role role, String zone, String kind, String cell, double full, long run,
-            boolean changed) { }
+    public record Known(String address, Role role, String zone, String kind, String cell, double full,
+            long run, boolean changed) { }
 
     /**
      * {@code number}: grows with every grant; {@code run}: the one that may leave, 0: none any more;
@@ -106,7 +106,8 @@
 
     /** "" is the empty state. */
     public static State read(String text) {
-        return text.isEmpty() ? EMPTY : GSON.fromJson(text.startsWith("{") ? text : unpacked(text), State.class);
+        return text.isEmpty() ? EMPTY
+            : GSON.fromJson(text.startsWith("{") ? text : unpacked(text), State.class);
     }
 
     /** JSON; packed where it is long, for a register takes only so much. */
--- a/src/test/java/maplespread/release/ReleaseTest.java
+++ b/src/test/java/maplespread/release/ReleaseTest.java
@@ -58,7 +58,8 @@
     }
 
     private static Plan plan(String id, String more) throws ReleaseRefused {
-        return Plan.read("{id:'" + id + "',from:'1',to:'2',workers:true,dispatchers:true,steps:[1,2]" + more + "}");
+        return Plan.read("{id:'" + id + "',from:'1',to:'2',workers:true,dispatchers:true,steps:[1,2]" + more
+            + "}");
     }
 
     private void begun() throws ReleaseRefused {
@@ -93,8 +94,9 @@
         for (String line : table.lines().skip(1).toList()) {
             String[] cell = line.trim().split(" +");
             State from = in(cell[0]);
-            List<Command> calls = List.of(Commands.begin("op", plan("q", ""), view()), Commands.halt("op", "x"),
-                Commands.goOn("op", "x", from.acts()), Commands.rollBack("op", "x", from.acts()),
+            List<Command> calls = List.of(Commands.begin("op", plan("q", ""), view()),
+                Commands.halt("op", "x"), Commands.goOn("op", "x", from.acts()),
+                Commands.rollBack("op", "x", from.acts()),
                 Commands.abandon("op", "x", from.acts()));
             for (int i = 0; i < calls.size(); i++) {
                 String got;
@@ -137,8 +139,7 @@
     @Test
     void leaveCountsAccidentsZonesSharesAndWorkThatIsCold() throws ReleaseRefused {
         begun();
-        assertEquals(List.of(List.of("w0"), List.of("w1", "w2"), List.of("w3"), List.of("d0", "d1"), List.of("d2")),
-            plan("c", "").cut(state.members()).stream().toList());
+        assertEquals("[[w0], [w1, w2], [w3], [d0, d1], [d2]]", state.release().steps().toString());
         refused(Reason.NOT_DUE, Commands.leave("d0", "w1", state.calm(), view()));
         refused(Reason.NOT_QUIET, Commands.leave("d0", "w0", state.calm() - 1, view()));
         does(Commands.observe("d0", state.calm(), List.of("w2"), List.of()));
@@ -153,13 +154,14 @@
         refused(Reason.CAPACITY, Commands.leave("d0", "w0", state.calm(), view()));      // 18 of 40 stays
         set("w3", 1, "1", Status.SERVING);
         put("w3", Role.WORKER, "z1", 1, "1", Status.SERVING, 8, true);
-        does(Commands.changeMembers("d0", state.calm(), fleet.values()));                // hides no loss of speed
+        does(Commands.changeMembers("d0", state.calm(), fleet.values()));        // hides no loss
         refused(Reason.NOT_QUIET, Commands.leave("d0", "w0", state.calm() - 1, view()));
         leave("w0");                                                                     // 20 of 40
         back("w0", "2");
         assertEquals(40, state.members().values().stream().mapToDouble(State.Known::full).sum());
         assertEquals("3 0 1 2", Stream.of(Limits.allowed(0.3, 10), Limits.allowed(0.09, 10),
-            Limits.allowed(1, 10), Limits.allowed(5, 2)).map(String::valueOf).reduce((a, b) -> a + " " + b).get());
+            Limits.allowed(1, 10), Limits.allowed(5, 2)).map(String::valueOf)
+            .reduce((a, b) -> a + " " + b).get());
     }
 
     @Test
@@ -167,7 +169,7 @@
         begun();
         leave("w0");
         long n = state.leaves().get("w0").number();
-        refused(Reason.MEMBER, Commands.back("d0", n, fleet.get("w0")));                 // the run that had leave
+        refused(Reason.MEMBER, Commands.back("d0", n, fleet.get("w0")));           // the run that had it
         put("w0", Role.WORKER, "z0", 2, "2", Status.SERVING, 4, false);
         refused(Reason.MEMBER, Commands.back("d0", n, fleet.get("w0")));                 // cold
         for (int tries = 1; tries <= 3; tries++) {
@@ -200,20 +202,24 @@
         refused(Reason.NAME_USED, Commands.begin("op", plan("r", ""), view()));
         does(Commands.leaveByHand("op", "w0", state.calm(), view(), "disk"));
         does(Commands.begin("op", plan("q", ",names:['w0']"), view()));
-        refused(Reason.NOT_DUE, Commands.leave("d0", "w0", state.calm(), view()));       // out by hand already
+        refused(Reason.NOT_DUE, Commands.leave("d0", "w0", state.calm(), view())); // out by hand
         back("w0", "2");
         does(Commands.finish("d0", view()));
         assertEquals(Phase.DONE, state.phase());
         refused(Reason.NAME_USED, Commands.begin("op", plan("r", ""), view()));
     }
 
+    private static Member atW0(String id, long run, String version) {
+        return new Member(id, "at-w0", Role.WORKER, "z0", "k", "", run, version, Status.SERVING, 10, true);
+    }
+
     @Test
     void membersChangeUnderWay() throws ReleaseRefused {
         begun();
         leave("w0");
         // Another name at the address of the one that is out: its leave and its turn go on.
         fleet.remove("w0");
-        fleet.put("w9", new Member("w9", "at-w0", Role.WORKER, "z0", "k", "", 5, "2", Status.SERVING, 10, true));
+        fleet.put("w9", atW0("w9", 5, "2"));
         State old = state;
         does(Commands.changeMembers("d0", state.calm(), List.of(fleet.get("w9"))));
         assertEquals(List.of("w9"), List.copyOf(state.leaves().keySet()));
@@ -221,8 +227,7 @@
         refused(Reason.NOT_QUIET, Commands.changeMembers("d1", old.calm(), List.of(fleet.get("w9"))));
         does(Commands.back("d0", 1, fleet.get("w9")));
         // An older sight does not bring the old one back.
-        Member stale = new Member("w0", "at-w0", Role.WORKER, "z0", "k", "", 1, "1", Status.SERVING, 10, true);
-        does(Commands.changeMembers("d0", state.calm(), List.of(stale)));
+        does(Commands.changeMembers("d0", state.calm(), List.of(atW0("w0", 1, "1"))));
         assertFalse(state.members().containsKey("w0"));
         // Upgraded in place: another run, never out, no leave.
         set("w1", 2, "2", Status.SERVING);
@@ -244,8 +249,9 @@
     void aLargeFleetFitsTheRegister() throws ReleaseRefused {
         for (int i = 0; i < 600; i++) {
             Role role = i < 200 ? Role.DISPATCHER : Role.WORKER;
-            fleet.put("m" + i, new Member("m" + i, "10.1." + i % 7 + "." + i % 251 + ":" + (7000 + i), role, "z" + i % 5,
-                "kind" + i % 3, "cell" + i % 11, 1_760_000_000_000L + i * 7919L, "1", Status.SERVING, 9 + i % 13, true));
+            fleet.put("m" + i, new Member("m" + i, "10.1." + i % 7 + "." + i % 251 + ":" + (7000 + i), role,
+                "z" + i % 5, "kind" + i % 3, "cell" + i % 11, 1_760_000_000_000L + i * 7919L, "1",
+                Status.SERVING, 9 + i % 13, true));
         }
         begun();
         assertEquals(607, state.members().size());
@@ -282,8 +288,9 @@
     @Test
     void plansThatCannotBe() throws ReleaseRefused {
         does(Commands.limits("op", LIMITS));
-        for (String more : List.of(",order:['size']", ",steps:[0]", ",steps:[]", ",limit:1", ",limits:{out:1}",
-                ",limits:{workers_out:-1}", ",zones:'a'", ",first:'all'", ",limits:{workers_out:0}",
+        for (String more : List.of(",order:['size']", ",steps:[0]", ",steps:[]", ",limit:1",
+                ",limits:{out:1}", ",limits:{workers_out:-1}", ",zones:'a'", ",first:'all'",
+                ",limits:{workers_out:0}",
                 ",limits:{dispatchers_out:0.2}", ",limits:{least_capacity:0.8}", ",zones:['none']", "],")) {
             ReleaseRefused e = assertThrows(ReleaseRefused.class,
                 () -> Commands.begin("op", plan("p", more), view()).apply(state), more);
