--- a/src/test/java/maplespread/net/ListClockTest.java
+++ b/src/test/java/maplespread/net/ListClockTest.java
@@ -41,6 +41,14 @@
             });
     }
 
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static String indented(String json) {
         return new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(json));
     }
@@ -91,6 +99,7 @@
     @Test void aStartWaitsForWhatTheAgentHolds() throws Exception {
         try (Peer worker = new Peer(MUTE);
              Loopback here = new Loopback(Loopback.Site.OUTLET, call -> {
+                 pause(200);                                     // an agent that takes its time
                  call.open();
                  call.line(list(2, false, "DRAINING", worker));
              }, c -> c, text -> text.replace("\"ask\"", "\"push\""), worker);
