--- a/src/main/java/maplespread/lab/FleetMeasure.java
+++ b/src/main/java/maplespread/lab/FleetMeasure.java
@@ -5,6 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import maplespread.lab.fleet.VirtualFleet;
@@ -35,9 +39,7 @@
         if (!quick) {
             sizes.add(new int[] {200, 1000});
         }
-        for (int[] size : sizes) {
-            virtual(size[0], size[1], quick ? 1 : 3, report);
-        }
+        virtual(sizes, quick ? 1 : 3, report);
         if (!quick) {
             large(report);
             ProcessMeasure.run(report);
@@ -88,7 +90,7 @@
         p.seconds = 31;
     }
 
-    private static void virtual(int n, int m, int seeds, Report report) {
+    private static Map<String, Consumer<Plan>> ways() {
         Map<String, Consumer<Plan>> ways = new LinkedHashMap<>();
         ways.put("sees all", p -> p.oracle = true);
         ways.put("least reported load", p -> p.naive = true);
@@ -116,16 +118,42 @@
             p.cuts = true;
             p.goes = true;
         });
-        Map<String, Result> mean = new LinkedHashMap<>();
-        ways.entrySet().parallelStream().forEach(e -> {
-            Result r = mean(IntStream.rangeClosed(1, seeds).parallel()
-                .mapToObj(s -> new VirtualFleet(plan(n, m, s, e.getValue())).run()).toList());
-            synchronized (mean) {
-                mean.put(e.getKey(), r);
+        return ways;
+    }
+
+    /** All plays of all sizes at once, the longest first: one size by one would wait for its longest. */
+    private static void virtual(List<int[]> sizes, int seeds, Report report) throws InterruptedException {
+        ExecutorService cores = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
+        try {
+            List<Map<String, List<Future<Result>>>> plays = new ArrayList<>();
+            for (int i = sizes.size() - 1; i >= 0; i--) {
+                int[] size = sizes.get(i);
+                Map<String, List<Future<Result>>> here = new LinkedHashMap<>();
+                ways().forEach((way, with) -> here.put(way, IntStream.rangeClosed(1, seeds)
+                    .mapToObj(s -> cores.submit(new VirtualFleet(plan(size[0], size[1], s, with))::run))
+                    .toList()));
+                plays.add(0, here);
             }
-        });
-        String size = n + "x" + m + " ";
-        for (String way : ways.keySet()) {
+            for (int i = 0; i < sizes.size(); i++) {
+                Map<String, Result> mean = new LinkedHashMap<>();
+                for (var e : plays.get(i).entrySet()) {
+                    List<Result> all = new ArrayList<>();
+                    for (Future<Result> play : e.getValue()) {
+                        all.add(play.get());
+                    }
+                    mean.put(e.getKey(), mean(all));
+                }
+                tell(sizes.get(i)[0] + "x" + sizes.get(i)[1] + " ", mean, report);
+            }
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a play failed", e.getCause());
+        } finally {
+            cores.shutdownNow();
+        }
+    }
+
+    private static void tell(String size, Map<String, Result> mean, Report report) {
+        for (String way : mean.keySet()) {
             Result r = mean.get(way);
             report.row(size + way, "worth", r.worth(), "herd", r.herd(), "overshoot", r.overshoot(), "probes",
                 r.probes(), "unfair", r.unfair(), "twice", r.twice());
--- a/src/main/java/maplespread/lab/rig/ProcessMeasure.java
+++ b/src/main/java/maplespread/lab/rig/ProcessMeasure.java
@@ -19,8 +19,8 @@
 
     public static void run(Report report) throws IOException, InterruptedException {
         for (int n : new int[] {5, 20}) {
-            play(new Rig.Plan(n, WORKERS, 21, 0, PARTS, 300), true, report);
-            play(new Rig.Plan(n, WORKERS, 21, 1, null, 300), false, report);
+            play(new Rig.Plan(n, WORKERS, 21, 0, Rig.Operator.same(PARTS), 300), true, report);
+            play(new Rig.Plan(n, WORKERS, 21, 1, Rig.Operator.same(null), 300), false, report);
         }
     }
 
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -13,11 +14,21 @@
 
 /** N dispatcher processes, their stand-ins and what lies between them. */
 public final class Rig implements Closeable {
+    /** The operators' file of one dispatcher at a version, or null. {@code links}: where it listens. */
+    public interface Operator {
+        String text(int dispatcher, String version, GroupLinks links) throws IOException;
+
+        /** One text for all; null: no file. */
+        static Operator same(String text) {
+            return (dispatcher, version, links) -> text;
+        }
+    }
+
     /**
-     * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code operator}: the
-     * text of the operators' file, null: none; {@code load}: jobs a second over all, 0: by capacity.
+     * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code load}: jobs a
+     * second over all, 0: by capacity.
      */
-    public record Plan(int dispatchers, int workers, long seed, int told, String operator, double load) { }
+    public record Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load) { }
 
     /** What a client asks for. */
     static final String[] ORGS = {"acme", "brio", "cove"};
@@ -32,7 +43,9 @@
     final List<ServeProcess> dispatchers = new ArrayList<>();
     final List<RigWorker> workers = new ArrayList<>();
     final RigDiscovery discovery;
+    final GroupLinks links;
     final RigClients clients;
+    private final String[] versions;                             // of the dispatchers
     private final Doors doors = new Doors();
     private final Path folder = Files.createTempDirectory("maplespread-rig");
     private final SplittableRandom random;
@@ -41,8 +54,9 @@
     public Rig(Plan plan) throws IOException, InterruptedException {
         this.plan = plan;
         random = new SplittableRandom(plan.seed());
-        Path operator = plan.operator() == null ? null
-            : Files.writeString(folder.resolve("operator.json"), plan.operator());
+        links = new GroupLinks(plan.dispatchers(), plan.seed());
+        versions = new String[plan.dispatchers()];
+        Arrays.fill(versions, "1");
         double capacity = 0;
         for (int w = 0; w < plan.workers(); w++) {
             double speed = 0.8 + random.nextDouble() * 0.8;
@@ -53,8 +67,8 @@
         workers.forEach(w -> discovery.set(w, "SERVING"));
         try {
             for (int d = 0; d < plan.dispatchers(); d++) {
-                dispatchers.add(new ServeProcess("n" + d, folder, operator));
-                dispatchers.get(d).start(config(d));
+                dispatchers.add(new ServeProcess("n" + d, folder));
+                restart(d);
             }
             for (ServeProcess d : dispatchers) {
                 d.awaitServing();
@@ -101,7 +115,12 @@
     }
 
     void restart(int d) throws IOException {
-        dispatchers.get(d).start(config(d));
+        dispatchers.get(d).start(config(d), plan.operator().text(d, versions[d], links));
+    }
+
+    /** What a dispatcher is started at from now on. */
+    void version(int d, String version) {
+        versions[d] = version;
     }
 
     /**
@@ -140,6 +159,7 @@
             Thread.currentThread().interrupt();
         }
         doors.close();
+        links.close();
         if (!gone) {
             throw new IOException("a dispatcher process could not be ended");
         }
--- a/src/main/java/maplespread/lab/rig/ServeProcess.java
+++ b/src/main/java/maplespread/lab/rig/ServeProcess.java
@@ -1,15 +1,19 @@
 package maplespread.lab.rig;
 
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpParser;
 
 /**
  * One real dispatcher process. It keeps its address over restarts, as the platform's do. No process outlives
@@ -17,28 +21,38 @@
  */
 final class ServeProcess {
     private static final Pattern SERVES = Pattern.compile("serves on /127\\.0\\.0\\.1:([0-9]+)");
+    private static final Pattern CONSOLE = Pattern.compile("console on /127\\.0\\.0\\.1:([0-9]+)");
+    private static final Pattern PHASE = Pattern.compile("(SERVING|QUIESCED) after [A-Z]+, by call");
     private static final long START_MS = 60_000;
+    private static final int CALL_MS = 3000;
     private final String name;
     private final Path folder;
     private final Path config;
     private final Path operator;
     private Process process;
     private volatile int port;
+    private volatile int consolePort;
     private volatile boolean said;
+    private volatile boolean drained;                            // by call, as its log says
+    private volatile boolean stopped;                            // SIGSTOP
     private volatile long killedAt;                              // nanoseconds; 0: never
 
-    /** {@code operator}: the operators' file, or null. */
-    ServeProcess(String name, Path folder, Path operator) {
+    ServeProcess(String name, Path folder) {
         this.name = name;
         this.folder = folder;
-        this.operator = operator;
+        operator = folder.resolve(name + "-operator.json");
         config = folder.resolve(name + ".json");
     }
 
-    /** Starts it on this configuration; the address is put in. Returns at once. */
-    synchronized void start(String text) throws IOException {
+    /**
+     * Starts it on this configuration, the address put in, and the operators' file, null: none. Returns at
+     * once.
+     */
+    synchronized void start(String text, String operators) throws IOException {
         Files.writeString(config, text);
         said = false;
+        drained = false;
+        stopped = false;
         Path tmp = folder.resolve(name + ".tmp");
         Files.createDirectories(tmp);
         ProcessBuilder call = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
@@ -48,9 +62,11 @@
         call.environment().put("BALANCER_CONFIG", config.toString());
         call.environment().put("BALANCER_NAME", name);
         call.environment().put("BALANCER_LISTEN", "127.0.0.1:" + port);
+        call.environment().put("BALANCER_CONSOLE", "127.0.0.1:" + consolePort);
         call.environment().put("TMPDIR", tmp.toString());
         call.environment().remove("JAVA_TOOL_OPTIONS");
-        if (operator != null) {
+        if (operators != null) {
+            Files.writeString(operator, operators);
             call.environment().put("BALANCER_OPERATOR", operator.toString());
         }
         process = call.start();
@@ -68,6 +84,14 @@
                         port = Integer.parseInt(m.group(1));
                         said = true;
                     }
+                    m = CONSOLE.matcher(line);
+                    if (m.find()) {
+                        consolePort = Integer.parseInt(m.group(1));
+                    }
+                    m = PHASE.matcher(line);
+                    if (m.find()) {
+                        drained = m.group(1).equals("QUIESCED");
+                    }
                 }
             }
         });
@@ -88,6 +112,29 @@
         return said && process.isAlive();
     }
 
+    /** Whether it takes nobody in: dead, standing still, not up yet, or drained by call. */
+    boolean out() {
+        return !serving() || stopped || drained;
+    }
+
+    boolean drained() {
+        return drained;
+    }
+
+    /** A call at its console: status, a blank, and what it says. */
+    String call(String method, String target, String body) throws IOException {
+        InetSocketAddress console = new InetSocketAddress("127.0.0.1", consolePort);
+        try (HttpConnection link = HttpConnection.dial(console, CALL_MS)) {
+            ByteArrayOutputStream text = new ByteArrayOutputStream();
+            HttpParser parser = HttpParser.responseOrError(1 << 20, text::write);
+            link.send((method + ' ' + target + " HTTP/1.1\r\nHost: rig\r\nContent-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8));
+            link.receive(parser, CALL_MS);
+            return parser.head().status() + " " + text.toString(StandardCharsets.UTF_8);
+        }
+    }
+
     InetSocketAddress address() {
         return new InetSocketAddress("127.0.0.1", port);
     }
@@ -105,6 +152,7 @@
 
     /** SIGSTOP, SIGCONT, SIGHUP, SIGTERM. */
     void signal(String signal) throws IOException, InterruptedException {
+        stopped = signal.equals("STOP") || stopped && !signal.equals("CONT");
         new ProcessBuilder(List.of("kill", "-" + signal, Long.toString(process.pid()))).start().waitFor();
     }
 
--- a/src/main/java/maplespread/subset/Aperture.java
+++ b/src/main/java/maplespread/subset/Aperture.java
@@ -32,7 +32,11 @@
         if (!(width >= 1)) {
             throw new IllegalArgumentException("width must be 1 or more, not " + width);
         }
-        String[] order = ordered(workers, seed);
+        return of(index, width, ordered(workers, seed));
+    }
+
+    /** The same of workers that stand in order already: one order does for a whole fleet. */
+    static Map<String, Double> of(int index, double width, String[] order) {
         Map<String, Double> subset = new LinkedHashMap<>();
         arc(index, width, order.length, (place, covered) -> subset.merge(order[place], covered, Double::sum));
         return subset;
--- a/src/main/java/maplespread/subset/Cover.java
+++ b/src/main/java/maplespread/subset/Cover.java
@@ -12,9 +12,9 @@
     public static Map<String, Double> loads(int dispatchers, double width, List<String> workers, long seed) {
         Map<String, Double> load = new HashMap<>();
         workers.forEach(w -> load.put(w, 0.0));
+        String[] order = Aperture.ordered(workers, seed);
         for (int i = 0; i < dispatchers; i++) {
-            Aperture.of(i, dispatchers, width, workers, seed)
-                .forEach((w, x) -> load.merge(w, x, Double::sum));
+            Aperture.of(i, width, order).forEach((w, x) -> load.merge(w, x, Double::sum));
         }
         return load;
     }
@@ -31,10 +31,11 @@
                                double width, long seed) {
         double changed = 0;
         double total = 0;
+        String[] orderBefore = Aperture.ordered(workersBefore, seed);
+        String[] orderAfter = Aperture.ordered(workersAfter, seed);
         for (int i = 0; i < Math.max(before, after); i++) {
-            Map<String, Double> a = i < before ? Aperture.of(i, before, width, workersBefore, seed)
-                : Map.of();
-            Map<String, Double> b = i < after ? Aperture.of(i, after, width, workersAfter, seed) : Map.of();
+            Map<String, Double> a = i < before ? Aperture.of(i, width, orderBefore) : Map.of();
+            Map<String, Double> b = i < after ? Aperture.of(i, width, orderAfter) : Map.of();
             for (var e : a.entrySet()) {
                 changed += Math.max(0, e.getValue() - b.getOrDefault(e.getKey(), 0.0));
                 total += e.getValue();
--- a/src/test/java/maplespread/lab/rig/ProcessesTest.java
+++ b/src/test/java/maplespread/lab/rig/ProcessesTest.java
@@ -15,7 +15,7 @@
 
     /** Five that share a dozen workers, all parts on, among kills, pauses, cuts, resets and cold starts. */
     @Test void noRuleIsBrokenWhileThingsBreak() throws Exception {
-        Rig rig = new Rig(new Rig.Plan(5, 12, 11, 0, SUBSET, 60));
+        Rig rig = new Rig(new Rig.Plan(5, 12, 11, 0, Rig.Operator.same(SUBSET), 60));
         List<String> thrown;
         try (rig) {
             for (int w = 0; w < 3; w++) {
