--- /dev/null
+++ b/src/main/java/maplespread/lab/rig/OutCount.java
@@ -0,0 +1,121 @@
+package maplespread.lab.rig;
+
+import java.io.Closeable;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Who is out, as the rig itself sees it: by its processes, their logs, and what it has listed. Nothing of it is
+ * asked of what the dispatchers agree on. Looked at every few milliseconds.
+ *
+ * <p>A dispatcher that the rig has killed or stopped is out by accident; one that drained, and has not served
+ * since, is out by leave. A worker is out by leave from its drain until it is warm again. What leaves may never
+ * pass the limit; and where accidents have used it up, and the fleet could know, none may begin.
+ */
+final class OutCount implements Closeable {
+    /** How many may be out. */
+    record Limits(int dispatchers, int workers, int zone) { }
+
+    private static final long LOOK_MS = 5;
+    private static final long KNOWN_MS = 8_000;                  // an accident so old must be known
+    private final Rig rig;
+    private final Limits limits;
+    private final boolean judge;
+    private volatile boolean over;
+    private int leaves;                                          // dispatchers, at the last look
+    private int most;
+    private int mostWorkers;
+    private int mostZone;
+    private double least = 1;
+    private int begun;
+
+    /** {@code judge}: whether what is over the limits is a wrong; it is counted in any case. */
+    OutCount(Rig rig, Limits limits, boolean judge) {
+        this.rig = rig;
+        this.limits = limits;
+        this.judge = judge;
+        Doors.daemon("out", () -> {
+            while (!over) {
+                look();
+                Thread.sleep(LOOK_MS);
+            }
+        });
+    }
+
+    private synchronized void look() {
+        int out = 0;
+        int known = 0;
+        long now = System.nanoTime();
+        List<String> who = new ArrayList<>();
+        for (int d = 0; d < rig.dispatchers.size(); d++) {
+            ServeProcess p = rig.dispatchers.get(d);
+            long struck = p.struckAt();
+            if (p.drained()) {
+                out++;
+                who.add("n" + d);
+            } else if (struck != 0 && now - struck > KNOWN_MS * 1_000_000) {
+                known++;
+                who.add("n" + d + " by accident");
+            }
+        }
+        if (out > leaves) {
+            begun += out - leaves;
+            wrong(out + known > limits.dispatchers, "leave began with " + who + " out", out + known, most);
+        }
+        leaves = out;
+        wrong(out > limits.dispatchers, "out of " + limits.dispatchers + " dispatchers: " + who, out, most);
+        most = Math.max(most, out);
+        int workers = 0;
+        int[] zones = new int[2];
+        double can = 0;
+        double full = 0;
+        for (int w = 0; w < rig.workers.size(); w++) {
+            RigWorker worker = rig.workers.get(w);
+            full += worker.full();
+            can += rig.discovery.state(worker).equals("SERVING") ? worker.capacity() : 0;
+            if (worker.moved()) {
+                workers++;
+                zones[worker.zone.equals("a") ? 0 : 1]++;
+            }
+        }
+        int zone = Math.max(zones[0], zones[1]);
+        wrong(workers > limits.workers, "workers out", workers, mostWorkers);
+        wrong(zone > limits.zone, "workers of a zone out", zone, mostZone);
+        mostWorkers = Math.max(mostWorkers, workers);
+        mostZone = Math.max(mostZone, zone);
+        least = Math.min(least, can / full);
+    }
+
+    private void wrong(boolean is, String what, int now, int before) {
+        if (is && judge && now > before) {                       // once for each new height
+            rig.ledger.wrong("rig's count: " + what + ", " + now + " with limits " + limits);
+        }
+    }
+
+    /** The most dispatchers that were out by leave at once. */
+    synchronized int dispatchers() {
+        return most;
+    }
+
+    synchronized int workers() {
+        return mostWorkers;
+    }
+
+    synchronized int zone() {
+        return mostZone;
+    }
+
+    /** The least share of the workers' capacity that was there at an instant. */
+    synchronized double least() {
+        return least;
+    }
+
+    /** How many leaves of dispatchers have begun. */
+    synchronized int begun() {
+        return begun;
+    }
+
+    @Override public void close() {
+        over = true;
+    }
+}
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -14,21 +14,26 @@
 
 /** N dispatcher processes, their stand-ins and what lies between them. */
 public final class Rig implements Closeable {
-    /** The operators' file of one dispatcher at a version, or null. {@code links}: where it listens. */
+    /** The operators' file of one dispatcher at a version, or null. */
     public interface Operator {
-        String text(int dispatcher, String version, GroupLinks links) throws IOException;
+        String text(int dispatcher, String version, Rig rig) throws IOException;
 
         /** One text for all; null: no file. */
         static Operator same(String text) {
-            return (dispatcher, version, links) -> text;
+            return (dispatcher, version, rig) -> text;
         }
     }
 
     /**
      * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code load}: jobs a
-     * second over all, 0: by capacity.
+     * second over all, 0: by capacity; {@code warmMs}: until a worker is warm.
      */
-    public record Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load) { }
+    public record Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load,
+            long warmMs) {
+        public Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load) {
+            this(dispatchers, workers, seed, told, operator, load, WARM_MS);
+        }
+    }
 
     /** What a client asks for. */
     static final String[] ORGS = {"acme", "brio", "cove"};
@@ -37,7 +42,7 @@
     private static final int SLOTS = 4;
     private static final double FALL = 4;
     private static final double COLD_FROM = 0.12;
-    private static final double WARM_MS = 20_000;
+    private static final long WARM_MS = 20_000;
     final Plan plan;
     final Ledger ledger = new Ledger();
     final List<ServeProcess> dispatchers = new ArrayList<>();
@@ -61,7 +66,7 @@
         for (int w = 0; w < plan.workers(); w++) {
             double speed = 0.8 + random.nextDouble() * 0.8;
             capacity += speed * SLOTS;
-            workers.add(worker("w-" + w, w % 2 == 0 ? "a" : "b", speed, WARM_MS));
+            workers.add(worker("w-" + w, w % 2 == 0 ? "a" : "b", speed));
         }
         discovery = new RigDiscovery(plan.dispatchers(), doors, ledger);
         workers.forEach(w -> discovery.set(w, "SERVING"));
@@ -81,9 +86,9 @@
         clients = new RigClients(this, rate, plan.seed());
     }
 
-    private RigWorker worker(String name, String zone, double speed, double sinceMs) throws IOException {
-        return new RigWorker(name, zone, new WorkerModel.Kind(SLOTS, speed, COLD_FROM, WARM_MS, FALL, 1000),
-            plan.dispatchers(), sinceMs, doors, ledger);
+    private RigWorker worker(String name, String zone, double speed) throws IOException {
+        return new RigWorker(name, zone, new WorkerModel.Kind(SLOTS, speed, COLD_FROM, plan.warmMs(), FALL,
+            1000), plan.dispatchers(), plan.warmMs(), doors, ledger);
     }
 
     /** The settings of a dispatcher, with what discovery would tell now as the list known from before. */
@@ -105,7 +110,7 @@
             + "'domain':{'tellsStart':true,'progressMs':2000,'queueOrder':'fifo'},"
             + "'permissions':{'probing':true,'dialTimeoutMs':250,'connIdleMs':20000,'cancel':true,"
             + "'tryLimit':4,'maxRetryAfterMs':2000},'rules':{'askWithinMs':10000,'answerSlackMs':8,"
-            + "'drainGraceMs':250,'coldFrom':" + COLD_FROM + ",'warmWithinMs':" + WARM_MS + ",'fallMultiple':"
+            + "'drainGraceMs':250,'coldFrom':" + COLD_FROM + ",'warmWithinMs':" + plan.warmMs() + ",'fallMultiple':"
             + FALL + ",'fallMs':1000}}}").replace('\'', '"').replace("@", discovery.whole(d));
     }
 
@@ -115,7 +120,7 @@
     }
 
     void restart(int d) throws IOException {
-        dispatchers.get(d).start(config(d), plan.operator().text(d, versions[d], links));
+        dispatchers.get(d).start(config(d), plan.operator().text(d, versions[d], this));
     }
 
     /** What a dispatcher is started at from now on. */
@@ -131,6 +136,17 @@
         discovery.set(workers.get(w), "SERVING");
     }
 
+    /** The worker is to get nothing new, and to come back as another run, or as it is. */
+    void drain(RigWorker w) {
+        w.move(true);
+        discovery.set(w, "DRAINING");
+    }
+
+    void takeBack(RigWorker w) {
+        discovery.set(w, "SERVING");
+        w.move(false);
+    }
+
     /**
      * The most that a cold worker was sent within the rule's window, over what fells it: above 1 it falls.
      */
--- a/src/main/java/maplespread/lab/rig/RigClients.java
+++ b/src/main/java/maplespread/lab/rig/RigClients.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
 
@@ -36,6 +37,7 @@
     private final List<ConcurrentLinkedDeque<HttpConnection>> kept;
     private final ExecutorService threads;
     private final AtomicInteger open = new AtomicInteger();
+    private final AtomicIntegerArray inHand;                     // requests, by dispatcher
     private volatile boolean over;
     private final Thread pace;
     final ConcurrentLinkedQueue<End> ends = new ConcurrentLinkedQueue<>();
@@ -44,6 +46,7 @@
         this.rig = rig;
         this.rate = rate;
         random = new SplittableRandom(seed ^ 0x5eed);
+        inHand = new AtomicIntegerArray(rig.dispatchers.size());
         kept = rig.dispatchers.stream().map(d -> new ConcurrentLinkedDeque<HttpConnection>()).toList();
         threads = new ThreadPoolExecutor(0, MOST, 5, TimeUnit.SECONDS, new SynchronousQueue<>(), work -> {
             Thread t = new Thread(null, work, "rig client", 128 * 1024);
@@ -103,13 +106,20 @@
         kept.forEach(k -> k.forEach(HttpConnection::close));
     }
 
-    /** The front goes past dispatchers that it knows to be dead. */
+    /** Requests that a dispatcher has not answered yet. */
+    int inHand(int dispatcher) {
+        return inHand.get(dispatcher);
+    }
+
+    /** The front goes past dispatchers that it knows to be dead, or that send clients away. */
     private int front(int first) {
         for (int i = 0; i < rig.dispatchers.size(); i++) {
             int d = (first + i) % rig.dispatchers.size();
-            if (rig.dispatchers.get(d).serving()) {
+            inHand.incrementAndGet(d);                           // before the look: who waits for none sees it
+            if (rig.dispatchers.get(d).taking()) {
                 return d;
             }
+            inHand.decrementAndGet(d);
         }
         return -1;
     }
@@ -152,7 +162,7 @@
                 link = null;
             }
         } catch (IOException e) {
-            if (to.killedSince(start) || over) {
+            if (to.struckSince(start) || over) {
                 rig.ledger.excused.increment();
             } else {
                 rig.ledger.wrong(id + " got no answer from n" + d + " in " + (System.nanoTime() - start)
@@ -163,6 +173,7 @@
                 link.close();
             }
             ends.add(new End(System.nanoTime(), org, work, inAim));
+            inHand.decrementAndGet(d);
         }
     }
 
--- a/src/main/java/maplespread/lab/rig/RigDiscovery.java
+++ b/src/main/java/maplespread/lab/rig/RigDiscovery.java
@@ -49,6 +49,11 @@
         notifyAll();
     }
 
+    /** As it is listed. */
+    synchronized String state(RigWorker worker) {
+        return states.getOrDefault(worker, "DELETED");
+    }
+
     /** Watches end and calls fail as long as it is down. */
     synchronized void down(boolean now) {
         down = now;
--- a/src/main/java/maplespread/lab/rig/RigWorker.java
+++ b/src/main/java/maplespread/lab/rig/RigWorker.java
@@ -30,6 +30,9 @@
     private final double base;
     private volatile int generation;                             // of its process, by restarts
     private double worst;
+    private boolean moves;
+    private int movedAt;                                         // the generation that was drained
+    private long startedAtMs;                                    // Unix time; 0: long ago
 
     /** {@code sinceMs}: how long it has been up; 0: it starts now, cold. */
     RigWorker(String name, String zone, WorkerModel.Kind kind, int dispatchers, double sinceMs, Doors doors,
@@ -76,6 +79,7 @@
     synchronized void restart() {
         worst = worst();
         generation++;
+        startedAtMs = System.currentTimeMillis();
         model.restart(nowMs()).forEach(job -> job.news.add(""));
     }
 
@@ -83,13 +87,40 @@
         model.slow(times);
     }
 
+    /** It is drained, or is taken back as it is. */
+    synchronized void move(boolean now) {
+        moves = now;
+        movedAt = generation;
+    }
+
+    /** Whether it was drained and has not been warm since. */
+    synchronized boolean moved() {
+        moves &= generation == movedAt || model.cold(nowMs());
+        return moves;
+    }
+
+    /** What it can do when warm. */
+    synchronized double full() {
+        return model.capacity(Double.MAX_VALUE);
+    }
+
+    /** Whether it has no job, waiting or running. */
+    synchronized boolean idle() {
+        return model.held() == 0;
+    }
+
+    /** What it can do now. */
+    synchronized double capacity() {
+        return model.capacity(nowMs());
+    }
+
     synchronized boolean cold() {
         return model.cold(nowMs());
     }
 
-    /** When it started, in Unix time; 0 where it has been up for long. */
+    /** When it started, in Unix time; 0 where that was before the rig. */
     synchronized long startedAtMs() {
-        return model.cold(nowMs()) ? System.currentTimeMillis() - Math.round(nowMs() - model.startedMs()) : 0;
+        return startedAtMs;
     }
 
     /** The most work it was sent while cold within the window of the rule, over what it could do. */
--- a/src/main/java/maplespread/lab/rig/ServeProcess.java
+++ b/src/main/java/maplespread/lab/rig/ServeProcess.java
@@ -25,6 +25,7 @@
     private static final Pattern PHASE = Pattern.compile("(SERVING|QUIESCED) after [A-Z]+, by call");
     private static final long START_MS = 60_000;
     private static final int CALL_MS = 3000;
+    private static final long LONG_MS = 2000;                    // standing still, its clients wait in vain
     private final String name;
     private final Path folder;
     private final Path config;
@@ -33,9 +34,10 @@
     private volatile int port;
     private volatile int consolePort;
     private volatile boolean said;
-    private volatile boolean drained;                            // by call, as its log says
+    private volatile boolean drained;                            // by call, as its log says; until it is back
     private volatile boolean stopped;                            // SIGSTOP
-    private volatile long killedAt;                              // nanoseconds; 0: never
+    private volatile long struckAt;                              // killed or stopped; 0: it is not, or is back
+    private volatile long excusedAt;                             // killed, or stopped for long; 0: never
 
     ServeProcess(String name, Path folder) {
         this.name = name;
@@ -51,7 +53,6 @@
     synchronized void start(String text, String operators) throws IOException {
         Files.writeString(config, text);
         said = false;
-        drained = false;
         stopped = false;
         Path tmp = folder.resolve(name + ".tmp");
         Files.createDirectories(tmp);
@@ -83,6 +84,8 @@
                     if (m.find()) {
                         port = Integer.parseInt(m.group(1));
                         said = true;
+                        drained = false;
+                        struckAt = 0;
                     }
                     m = CONSOLE.matcher(line);
                     if (m.find()) {
@@ -112,15 +115,26 @@
         return said && process.isAlive();
     }
 
+    /** Whether clients are sent to it, as far as a front can know. */
+    boolean taking() {
+        return serving() && !drained;
+    }
+
     /** Whether it takes nobody in: dead, standing still, not up yet, or drained by call. */
     boolean out() {
-        return !serving() || stopped || drained;
+        return !taking() || stopped;
     }
 
+    /** Whether it is out by its own drain, and has not come back since, whatever befell it meanwhile. */
     boolean drained() {
         return drained;
     }
 
+    /** Since when it is out by accident, in nanoseconds; 0: it is not. */
+    long struckAt() {
+        return drained ? 0 : struckAt;
+    }
+
     /** A call at its console: status, a blank, and what it says. */
     String call(String method, String target, String body) throws IOException {
         InetSocketAddress console = new InetSocketAddress("127.0.0.1", consolePort);
@@ -139,21 +153,35 @@
         return new InetSocketAddress("127.0.0.1", port);
     }
 
-    /** Whether it was killed at that time or later: what it held then nobody could answer. */
-    boolean killedSince(long nanos) {
-        return killedAt != 0 && killedAt - nanos >= 0;
+    /** Whether it was killed, or stood still for long, since: what it held then nobody could answer. */
+    boolean struckSince(long nanos) {
+        return excusedAt != 0 && excusedAt - nanos >= 0;
     }
 
     synchronized void kill() throws InterruptedException {
-        killedAt = System.nanoTime();
+        excusedAt = struckAt = System.nanoTime();
+        retire();
+    }
+
+    /** Ends it when it holds nothing: an answer that lacks then is a wrong. */
+    synchronized void retire() throws InterruptedException {
         said = false;
         process.destroyForcibly().waitFor();
     }
 
     /** SIGSTOP, SIGCONT, SIGHUP, SIGTERM. */
     void signal(String signal) throws IOException, InterruptedException {
-        stopped = signal.equals("STOP") || stopped && !signal.equals("CONT");
+        long now = System.nanoTime();
+        if (signal.equals("STOP")) {
+            stopped = true;
+            struckAt = now;
+        }
         new ProcessBuilder(List.of("kill", "-" + signal, Long.toString(process.pid()))).start().waitFor();
+        if (signal.equals("CONT")) {
+            excusedAt = struckAt != 0 && now - struckAt > LONG_MS * 1_000_000 ? now : excusedAt;
+            stopped = false;
+            struckAt = 0;
+        }
     }
 
     boolean alive() {
--- a/src/main/java/maplespread/lab/rig/Storm.java
+++ b/src/main/java/maplespread/lab/rig/Storm.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import maplespread.lab.rig.GroupLinks.Trouble;
 
 /**
  * Faults drawn from a seed and thrown at a rig for a while, each undone after its time. What is drawn is the
@@ -26,17 +28,29 @@
     private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingLong(Later::atNanos));
     private final List<String> thrown = new ArrayList<>();
     private final boolean[] struck;                              // a dispatcher that is down or paused
+    private final int kinds;
 
     public Storm(Rig rig, long seed) {
+        this(rig, seed, false);
+    }
+
+    /** {@code links}: those between dispatchers fail too. */
+    public Storm(Rig rig, long seed, boolean links) {
         this.rig = rig;
         random = new SplittableRandom(seed);
         struck = new boolean[rig.dispatchers.size()];
+        kinds = links ? 8 : 6;
     }
 
     /** So many faults, one after the other; all are undone when it returns. What was thrown. */
     public List<String> blow(int faults, long gapMs) throws IOException, InterruptedException {
-        for (int i = 0; i < faults; i++) {
-            one(i % 6);
+        return blow(i -> i < faults, gapMs);
+    }
+
+    /** One fault after the other while more are wanted, by how many there were. */
+    public List<String> blow(IntPredicate more, long gapMs) throws IOException, InterruptedException {
+        for (int i = 0; more.test(i); i++) {
+            one(i % kinds);
             await(System.nanoTime() + (gapMs / 2 + random.nextLong(gapMs)) * 1_000_000);
         }
         while (!later.isEmpty()) {
@@ -48,6 +62,15 @@
         return thrown;
     }
 
+    /** Strikes one that is neither down nor about to be: what leaves by itself comes back by itself. */
+    private boolean strike(int d) {
+        if (struck[d] || rig.dispatchers.get(d).out()) {
+            return false;
+        }
+        struck[d] = true;
+        return true;
+    }
+
     private void await(long nanos) throws IOException, InterruptedException {
         while (true) {
             while (!later.isEmpty() && later.peek().atNanos <= System.nanoTime()) {
@@ -80,8 +103,7 @@
                 undoAfter(ms, () -> ways.forEach(x -> x.fault = Way.Fault.NONE));
             }
             case 2 -> {
-                if (!struck[d]) {
-                    struck[d] = true;
+                if (strike(d)) {
                     rig.dispatchers.get(d).signal("STOP");
                     thrown.add("pause n" + d);
                     undoAfter(ms, () -> {
@@ -91,8 +113,7 @@
                 }
             }
             case 3 -> {
-                if (!struck[d]) {
-                    struck[d] = true;
+                if (strike(d)) {
                     rig.kill(d);
                     thrown.add("kill n" + d);
                     undoAfter(ms, () -> {
@@ -102,8 +123,28 @@
                 }
             }
             case 4 -> {
-                rig.restartWorker(w);
-                thrown.add("restart w-" + w);
+                if (rig.discovery.state(rig.workers.get(w)).equals("SERVING")) {
+                    rig.restartWorker(w);
+                    thrown.add("restart w-" + w);
+                }
+            }
+            case 6 -> {                                          // one way, or both, or all ways of one
+                int to = (d + 1 + random.nextInt(rig.dispatchers.size() - 1)) % rig.dispatchers.size();
+                int how = random.nextInt(3);
+                for (int i = 0; i < rig.dispatchers.size(); i++) {
+                    if (i == to || how == 2) {
+                        links(d, i, Trouble.CUT, how > 0);
+                    }
+                }
+                thrown.add("cut links n" + d + " to n" + to + ", " + how);
+                undoAfter(ms, () -> rig.links.all(Trouble.NONE));
+            }
+            case 7 -> {
+                Trouble bad = new Trouble(false, random.nextDouble() * 0.4, random.nextDouble() * 0.5,
+                    random.nextLong(100), random.nextLong(200));
+                rig.links.all(bad);
+                thrown.add("links " + bad);
+                undoAfter(ms, () -> rig.links.all(Trouble.NONE));
             }
             default -> {
                 boolean down = random.nextBoolean();
@@ -117,4 +158,11 @@
             }
         }
     }
+
+    private void links(int from, int to, Trouble trouble, boolean both) {
+        rig.links.set(from, to, trouble);
+        if (both) {
+            rig.links.set(to, from, trouble);
+        }
+    }
 }
