--- a/src/main/java/maplespread/lab/rig/OutCount.java
+++ b/src/main/java/maplespread/lab/rig/OutCount.java
@@ -27,7 +27,7 @@
     private int mostWorkers;
     private int mostZone;
     private double least = 1;
-    private int begun;
+    private long begunAt = System.nanoTime();
 
     /** {@code judge}: whether what is over the limits is a wrong; it is counted in any case. */
     OutCount(Rig rig, Limits limits, boolean judge) {
@@ -59,7 +59,7 @@
             }
         }
         if (out > leaves) {
-            begun += out - leaves;
+            begunAt = now;
             wrong(out + known > limits.dispatchers, "leave began with " + who + " out", out + known, most);
         }
         leaves = out;
@@ -110,9 +110,9 @@
         return least;
     }
 
-    /** How many leaves of dispatchers have begun. */
-    synchronized int begun() {
-        return begun;
+    /** When a dispatcher left last, in nanoseconds. */
+    synchronized long begunAt() {
+        return begunAt;
     }
 
     @Override public void close() {
--- /dev/null
+++ b/src/main/java/maplespread/lab/rig/ReleasePlay.java
@@ -0,0 +1,281 @@
+package maplespread.lab.rig;
+
+import com.google.gson.JsonObject;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * A release of all dispatchers and workers of a rig, with an operator who calls and a deployer who restarts; or
+ * the same without agreement, each part of the fleet moved by somebody who keeps to the limits alone.
+ */
+public final class ReleasePlay implements Closeable {
+    /**
+     * {@code out}, {@code workersOut}, {@code zoneOut}: the limits; {@code step}: members a step; {@code warmMs}:
+     * until a worker is warm; {@code agree}: false is the control.
+     */
+    public record Plan(int dispatchers, int workers, long seed, int out, int workersOut, int zoneOut, int step,
+            long warmMs, double load, boolean agree) { }
+
+    private static final String KEY = "1 00112233445566778899aabbccddeeff\n";
+    private static final long MOST_MS = 60_000;
+    private static final int PARTS = 3;                          // of a fleet without agreement
+    private final Plan plan;
+    final Rig rig;
+    final OutCount count;
+    final Deployer deployer;                                     // null without agreement
+    private final List<Thread> alone = new ArrayList<>();
+    private int halts;
+    private int asked;
+
+    public ReleasePlay(Plan plan) throws IOException, InterruptedException {
+        this.plan = plan;
+        rig = new Rig(new Rig.Plan(plan.dispatchers, plan.workers, plan.seed, 0,
+            plan.agree ? this::operator : Rig.Operator.same(null), plan.load, plan.warmMs));
+        count = new OutCount(rig, new OutCount.Limits(plan.out, plan.workersOut, plan.zoneOut), plan.agree);
+        deployer = plan.agree ? new Deployer(rig) : null;
+    }
+
+    private String operator(int d, String version, Rig of) throws IOException {
+        String key = Files.writeString(of.folder().resolve("group.key"), KEY).toString();
+        List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < Math.min(4, plan.dispatchers); i++) {
+            if (i != d) {
+                seeds.add("'" + of.links.address(i) + "'");
+            }
+        }
+        String electors = IntStream.range(0, Math.min(5, plan.dispatchers)).mapToObj(i -> "'n" + i + "'")
+            .collect(Collectors.joining(","));
+        return ("{'group':{'listen':'" + of.links.listen(d) + "','address':'" + of.links.address(d)
+            + "','seeds':" + seeds + ",'electors':[" + electors + "],'key_files':['" + key + "'],'version':'"
+            + version + "','period_ms':250,'ack_ms':80},'release':{'dispatchers_out':" + plan.out
+            + ",'workers_out':" + plan.workersOut + ",'workers_out_zone':" + plan.zoneOut
+            + ",'least_capacity':0.4,'quiet_ms':300,'back_ms':120000,'worse_refused':1,'worse_errors':1,"
+            + "'worse_wait':1000}}").replace('\'', '"');
+    }
+
+    // ------------------------------------------------------------ the operator
+
+    /** Calls instance after instance until one has done it; what it says. */
+    private String call(String target, String body) throws IOException, InterruptedException {
+        String last = "";
+        for (long end = System.nanoTime() + MOST_MS * 1_000_000; System.nanoTime() < end; asked++) {
+            ServeProcess p = rig.dispatchers.get(asked % plan.dispatchers);
+            if (!p.out()) {
+                try {
+                    last = p.call("POST", target, body);
+                    if (last.startsWith("200 ")) {
+                        return last;
+                    }
+                } catch (IOException gone) {
+                    last = gone.toString();
+                }
+                Thread.sleep(50);
+            }
+        }
+        throw new IOException(target + " was not done: " + last);
+    }
+
+    /** Begins it, once all members are known to all. */
+    public void begin() throws IOException, InterruptedException {
+        await(() -> agreed("members") == plan.dispatchers + plan.workers, "all members known");
+        call("/admin/release", "{'id':'r1','from':'1','to':'2','dispatchers':true,'workers':true,'steps':["
+            .replace('\'', '"') + plan.step + "]}");
+    }
+
+    /**
+     * Halts it, waits until so many more jobs are served, and goes on. Until how long after the halt was heard by a
+     * majority a dispatcher still left, by leave from before it, in ms; a wrong where leave was granted after it.
+     */
+    public long halt(int jobs) throws IOException, InterruptedException {
+        call("/admin/release/halt?why=a+look", "");
+        long at = System.nanoTime();
+        await(() -> deployer.phase().equals("HALTED"), "the halt");
+        long grants = deployer.agreed().getAsJsonObject("agreed").get("grants").getAsLong();
+        long served = rig.ledger.served.sum();
+        await(() -> rig.ledger.served.sum() >= served + jobs && deployer.agreed() != null, "service in the halt");
+        long then = deployer.agreed().getAsJsonObject("agreed").get("grants").getAsLong();
+        if (then != grants) {
+            rig.ledger.wrong("leave was granted while halted: " + grants + ", then " + then);
+        }
+        long late = Math.max(0, count.begunAt() - at) / 1_000_000;
+        call("/admin/release/go-on?why=looked", "");
+        return late;
+    }
+
+    /** How many members, leaves or accidents are agreed; -1: not known now. */
+    int agreed(String what) {
+        JsonObject all = deployer.agreed();
+        return all == null ? -1 : all.getAsJsonObject("agreed").getAsJsonObject(what).size();
+    }
+
+    boolean agreedOut(String what, String member) {
+        JsonObject all = deployer.agreed();
+        return all != null && all.getAsJsonObject("agreed").getAsJsonObject(what).has(member);
+    }
+
+    /** Whether it is done; goes on where it has halted by itself and what it halted for is over. */
+    boolean done() {
+        if (!plan.agree) {
+            return alone.stream().noneMatch(Thread::isAlive);
+        }
+        String phase = deployer.phase();
+        boolean struck = rig.dispatchers.stream().anyMatch(p -> p.struckAt() != 0);
+        if (phase.equals("HALTED") && !struck && agreed("accidents") == 0) {
+            halts++;
+            try {
+                call("/admin/release/go-on?why=over", "");
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        return phase.equals("DONE");
+    }
+
+    void await(BooleanSupplier condition, String what) throws IOException, InterruptedException {
+        long end = System.nanoTime() + MOST_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                rig.ledger.wrong("in vain for " + what);         // and so the logs are kept
+                throw new IOException("in vain for " + what + ": " + rig.ledger + "; "
+                    + (deployer == null ? "" : deployer.agreed()) + "; logs in " + rig.folder());
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    /** Waits for its end; then all must be what it was to make of them. */
+    public void end() throws IOException, InterruptedException {
+        await(this::done, "the end of the release");
+        for (int d = 0; d < plan.dispatchers && plan.agree; d++) {
+            if (!rig.version(d).equals("2")) {
+                rig.ledger.wrong("n" + d + " is not at the version of the release");
+            }
+        }
+        rig.workers.stream().filter(RigWorker::first).forEach(w ->
+            rig.ledger.wrong(w.name + " was not restarted by the release"));
+    }
+
+    /** How often it halted by itself. */
+    public int halts() {
+        return halts;
+    }
+
+    // ------------------------------------------------------------ what befalls it
+
+    /**
+     * Faults of all kinds until it is done, or for so long; and whoever drives the release, the first of those
+     * that serve, is killed at every step.
+     */
+    public List<String> storm(long mostMs, long gapMs) throws IOException, InterruptedException {
+        long end = System.nanoTime() + mostMs * 1_000_000;
+        Storm storm = new Storm(rig, plan.seed, plan.agree);
+        int[] step = {-1};
+        return storm.blow(i -> {
+            JsonObject now = plan.agree ? deployer.agreed() : null;
+            if (now != null && now.get("step").getAsInt() != step[0]) {
+                step[0] = now.get("step").getAsInt();
+                IntStream.range(0, plan.dispatchers).filter(d -> !rig.dispatchers.get(d).out()).boxed()
+                    .min(java.util.Comparator.comparing(d -> "n" + d)).ifPresent(storm::killSoon);
+            }
+            return !done() && System.nanoTime() < end;
+        }, gapMs);
+    }
+
+    // ------------------------------------------------------------ the control
+
+    /** Without agreement: each of some parts of the fleet is moved by one who keeps to the limits alone. */
+    public void beginAlone() {
+        for (int p = 0; p < PARTS; p++) {
+            int part = p;
+            alone.add(Doors.daemon("alone dispatchers", () -> {
+                for (int d = part; d < plan.dispatchers; d += PARTS * plan.out) {
+                    for (int i = d; i < Math.min(plan.dispatchers, d + PARTS * plan.out); i += PARTS) {
+                        drain(i);
+                    }
+                    for (int i = d; i < Math.min(plan.dispatchers, d + PARTS * plan.out); i += PARTS) {
+                        restart(i);
+                    }
+                }
+            }));
+            alone.add(Doors.daemon("alone workers", () -> {
+                for (int w = part; w < plan.workers; w += PARTS * plan.workersOut) {
+                    List<RigWorker> mine = new ArrayList<>();
+                    for (int i = w; i < Math.min(plan.workers, w + PARTS * plan.workersOut); i += PARTS) {
+                        mine.add(rig.workers.get(i));
+                    }
+                    mine.forEach(rig::drain);
+                    for (RigWorker x : mine) {
+                        await(x::idle, "an idle worker");
+                        x.restart();
+                        rig.discovery.set(x, "SERVING");
+                    }
+                    await(() -> mine.stream().noneMatch(RigWorker::moved), "warm workers");
+                }
+            }));
+        }
+    }
+
+    private void drain(int d) throws InterruptedException {
+        ServeProcess p = rig.dispatchers.get(d);
+        while (!p.drained()) {
+            try {
+                p.call("POST", "/admin/quiesce", "");
+            } catch (IOException down) {
+                // struck; it is asked again
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private void restart(int d) throws IOException, InterruptedException {
+        ServeProcess p = rig.dispatchers.get(d);
+        await(() -> !p.drained() || p.serving() && rig.clients.inHand(d) == 0, "a drained dispatcher");
+        if (p.drained()) {
+            p.retire();
+            rig.restart(d);
+        }
+        await(() -> !p.out(), "a dispatcher");
+    }
+
+    // ------------------------------------------------------------ what came of it
+
+    /** The most dispatchers, workers and workers of a zone out by leave at once, by the rig's count. */
+    public int[] most() {
+        return new int[] {count.dispatchers(), count.workers(), count.zone()};
+    }
+
+    /** The least share of the workers' capacity at an instant. */
+    public double least() {
+        return count.least();
+    }
+
+    /** Jobs asked for, and the shares of them that were answered in their aim and refused. */
+    public double[] served() {
+        double all = Math.max(1, rig.ledger.asked.sum());
+        return new double[] {all, rig.ledger.inAim.sum() / all, rig.ledger.refused.sum() / all};
+    }
+
+    public List<String> wrongs() {
+        return rig.wrongs();
+    }
+
+    /** Packets between dispatchers that were lost, repeated, and overtaken. */
+    public long[] links() {
+        return new long[] {rig.links.lost.sum(), rig.links.repeated.sum(), rig.links.overtaken.sum()};
+    }
+
+    @Override public void close() throws IOException {
+        if (deployer != null) {
+            deployer.close();
+        }
+        alone.forEach(Thread::interrupt);
+        count.close();
+        rig.close();
+    }
+}
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -136,6 +136,10 @@
         discovery.set(workers.get(w), "SERVING");
     }
 
+    String version(int d) {
+        return versions[d];
+    }
+
     /** The worker is to get nothing new, and to come back as another run, or as it is. */
     void drain(RigWorker w) {
         w.move(true);
--- a/src/main/java/maplespread/lab/rig/RigWorker.java
+++ b/src/main/java/maplespread/lab/rig/RigWorker.java
@@ -87,6 +87,11 @@
         model.slow(times);
     }
 
+    /** Whether its process is still the one it began with. */
+    boolean first() {
+        return generation == 0;
+    }
+
     /** It is drained, or is taken back as it is. */
     synchronized void move(boolean now) {
         moves = now;
--- a/src/main/java/maplespread/lab/rig/Storm.java
+++ b/src/main/java/maplespread/lab/rig/Storm.java
@@ -113,14 +113,7 @@
                 }
             }
             case 3 -> {
-                if (strike(d)) {
-                    rig.kill(d);
-                    thrown.add("kill n" + d);
-                    undoAfter(ms, () -> {
-                        rig.restart(d);
-                        struck[d] = false;
-                    });
-                }
+                kill(d, ms);
             }
             case 4 -> {
                 if (rig.discovery.state(rig.workers.get(w)).equals("SERVING")) {
@@ -159,6 +152,22 @@
         }
     }
 
+    private void kill(int d, long ms) throws IOException, InterruptedException {
+        if (strike(d)) {
+            rig.kill(d);
+            thrown.add("kill n" + d);
+            undoAfter(ms, () -> {
+                rig.restart(d);
+                struck[d] = false;
+            });
+        }
+    }
+
+    /** Kills that one with the next fault. */
+    void killSoon(int d) {
+        later.add(new Later(System.nanoTime(), () -> kill(d, 1000)));
+    }
+
     private void links(int from, int to, Trouble trouble, boolean both) {
         rig.links.set(from, to, trouble);
         if (both) {
--- /dev/null
+++ b/src/test/java/maplespread/lab/rig/ReleaseProcessesTest.java
@@ -0,0 +1,33 @@
+package maplespread.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import maplespread.lab.rig.GroupLinks.Trouble;
+import org.junit.jupiter.api.Test;
+
+/** A release over real processes while things break. Verdicts rest on rules, never on how fast it went. */
+class ReleaseProcessesTest {
+    /** Five dispatchers and ten workers, over links that fail; one is stopped, one is killed, one call halts. */
+    @Test void neverMoreOutThanTheLimitAndItEnds() throws Exception {
+        ReleasePlay play = new ReleasePlay(new ReleasePlay.Plan(5, 10, 5, 2, 4, 3, 3, 1500, 40, true));
+        try (play) {
+            play.rig.links.all(new Trouble(false, 0.15, 0.2, 0, 30));
+            play.begin();
+            play.await(() -> play.count.workers() > 0, "a worker to leave");
+            play.rig.dispatchers.get(3).signal("STOP");
+            play.await(() -> play.agreedOut("accidents", "n3"), "the stopped one to count as out");
+            play.rig.dispatchers.get(3).signal("CONT");
+            play.await(() -> play.agreed("accidents") == 0, "its return");
+            play.rig.kill(0);                                    // the first of those that drive
+            play.await(() -> play.agreedOut("accidents", "n0"), "the killed one to count as out");
+            play.rig.restart(0);
+            play.await(() -> play.done() || play.count.dispatchers() > 0, "a dispatcher to leave");
+            play.halt(40);
+            play.end();
+        }
+        assertEquals(List.of(), play.wrongs(), play.rig.ledger + "; logs in " + play.rig.folder());
+        assertTrue(play.most()[0] > 0 && play.links()[0] > 0 && play.links()[1] > 0, "nothing was tried");
+    }
+}
