--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -20,8 +20,8 @@
 
 /**
  * All that can be asked of the state. {@code by}: the instance or operator that asks, for the log;
- * {@code act}: {@link State#acts()} as the operator saw it, so that an act that comes late, or twice, does not
- * undo what was decided since.
+ * {@code act}: {@link State#acts()} as the operator saw it, so that an act that comes late, or twice, does
+ * not undo what was decided since.
  */
 public final class Commands {
     private static final int MOST_TRIES = 3;
@@ -116,7 +116,8 @@
     public static Command goOn(String by, String why, long act) {
         return now -> {
             newest(now, act);
-            return now.halt() == null ? now : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
+            return now.halt() == null ? now
+                : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
         };
     }
 
@@ -180,7 +181,8 @@
 
     /** Throws why a drain without leave is refused; returns where nothing is on, or the member has leave. */
     public static void checkDrain(State now, String member) throws ReleaseRefused {
-        if (!now.leaves().containsKey(member) && (now.on() || !now.inForce().isEmpty() || now.halt() != null)) {
+        boolean bound = now.on() || !now.inForce().isEmpty() || now.halt() != null;
+        if (bound && !now.leaves().containsKey(member)) {
             throw refused(Reason.NO_LEAVE, member + " has no leave to be out, and "
                 + (now.on() ? "release " + now.release().plan().id() + " is on" : "limits are on"));
         }
@@ -189,8 +191,8 @@
     // ------------------------------------------------------------ leave
 
     /**
-     * Leave for a member of the release that is on. {@code seen}: {@link State#calm()} as the proposer saw it,
-     * through the whole quiet time where a step begins.
+     * Leave for a member of the release that is on. {@code seen}: {@link State#calm()} as the proposer saw
+     * it, through the whole quiet time where a step begins.
      */
     public static Command leave(String by, String member, long seen, View view) {
         return now -> {
@@ -204,8 +206,8 @@
                 throw refused(Reason.NOT_DUE, member + " is not to move now");
             }
             Member m = free(now, member, seen, view);
-            if (m.run() > now.members().get(member).run()
-                    && judge(now, m, now.members().get(member).changed()) != now.members().get(member).changed()) {
+            Known k = now.members().get(member);
+            if (m.run() > k.run() && judge(now, m, k.changed()) != k.changed()) {
                 throw refused(Reason.NOT_DUE, member + " has changed without leave, as is soon told");
             }
             Draft d = new Draft(now);
@@ -280,7 +282,8 @@
                 return now;                                      // told before, by another
             }
             if (seen.run() <= held.run() || !seen.serving() || !seen.warm()) {
-                throw refused(Reason.MEMBER, seen.id() + " is not back: " + seen.status() + ", run " + seen.run());
+                throw refused(Reason.MEMBER, seen.id() + " is not back: " + seen.status() + ", run "
+                    + seen.run());
             }
             Draft d = new Draft(now);
             d.calm++;
@@ -288,9 +291,9 @@
             d.accidents.remove(seen.id());
             Known was = now.members().get(seen.id());
             boolean named = now.on() && !held.release().isEmpty();
-            boolean to = named && !now.release().plan().byVersion() ? now.release().moves() != Phase.ROLLING_BACK
-                : judge(now, seen, was.changed());
-            d.members.put(seen.id(), known(seen, was, to));
+            boolean to = named && !now.release().plan().byVersion()
+                ? now.release().moves() != Phase.ROLLING_BACK : judge(now, seen, was.changed());
+            d.members.put(seen.id(), known(now, seen, was, to));
             State next = d.done();
             if (!named || !next.todo().contains(seen.id())) {
                 return next;
@@ -321,7 +324,7 @@
         };
     }
 
-    /** The release has reached its end, as the proposer sees it: nobody is out, all are what they should be. */
+    /** The release has reached its end, as the proposer sees it: nobody is out, all are as wanted. */
     public static Command finish(String by, View view) {
         return now -> {
             if (!now.on()) {
@@ -381,7 +384,7 @@
                 if (k != null && m.run() >= k.run()) {
                     d.accidents.remove(m.id());
                     if (m.run() > k.run() && now.release() != null && !d.leaves.containsKey(m.id())) {
-                        d.members.put(m.id(), known(m, k, judge(now, m, k.changed())));
+                        d.members.put(m.id(), known(now, m, k, judge(now, m, k.changed())));
                     }
                 }
             }
@@ -404,8 +407,8 @@
                     fresh.add(m.id());
                 }
             }
-            if (d.members.equals(now.members())) {
-                return now;
+            if (d.members.keySet().equals(now.members().keySet())) {
+                return d.members.equals(now.members()) ? now : d.done();
             }
             // A restart has nothing to do with who has just come.
             fresh.removeIf(id -> now.release() == null || now.release().moves() == Phase.ABANDONED
@@ -425,8 +428,8 @@
         Known was = d.members.get(m.id());
         if (was != null) {
             if (m.run() >= was.run()) {
-                d.members.put(m.id(), new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(), full(m, was),
-                    was.run(), was.changed()));
+                d.members.put(m.id(), new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(),
+                    full(now, m, was), was.run(), was.changed()));
             }
             return false;
         }
@@ -437,13 +440,13 @@
             }
         }
         if (old.isEmpty()) {
-            d.members.put(m.id(), known(m, null, judge(now, m, false)));
+            d.members.put(m.id(), known(now, m, null, judge(now, m, false)));
             return true;
         }
         Known k = d.members.get(old);
         if (m.run() > k.run()) {                                 // else the view is older than the state
             d.members.remove(old);
-            d.members.put(m.id(), known(m, k, judge(now, m, k.changed())));
+            d.members.put(m.id(), known(now, m, k, judge(now, m, k.changed())));
             Leave l = d.leaves.remove(old);
             if (l != null) {
                 d.leaves.put(m.id(), new Leave(l.number(), 0, l.release(), l.why()));
@@ -477,17 +480,18 @@
         return m.version().equals(p.to()) || was && !p.from().isEmpty() && !m.version().equals(p.from());
     }
 
-    private static Known known(Member m, Known was, boolean changed) {
+    private static Known known(State now, Member m, Known was, boolean changed) {
         return new Known(m.address(), m.role(), m.zone(), m.kind(), m.cell(), was == null ? m.capacity()
-            : full(m, was), Math.max(m.run(), was == null ? 0 : was.run()), changed);
+            : full(now, m, was), Math.max(m.run(), was == null ? 0 : was.run()), changed);
     }
 
     private static Known changed(Known k, boolean changed) {
         return new Known(k.address(), k.role(), k.zone(), k.kind(), k.cell(), k.full(), k.run(), changed);
     }
 
-    private static double full(Member m, Known was) {
-        return m.warm() ? m.capacity() : Math.max(m.capacity(), was.full());
+    /** While a release is on it only grows: what the release makes slow is to be missed. */
+    private static double full(State now, Member m, Known was) {
+        return m.warm() && !now.on() ? m.capacity() : Math.max(m.capacity(), was.full());
     }
 
     private static void rename(Draft d, String old, String name) {
--- a/src/main/java/maplespread/release/client/Releases.java
+++ b/src/main/java/maplespread/release/client/Releases.java
@@ -4,7 +4,6 @@
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.io.Closeable;
 import java.util.HashSet;
 import java.util.Map;
@@ -33,8 +32,8 @@
 import maplespread.release.View;
 
 /**
- * This instance's part in releases: one thread looks, proposes and carries orders out; the console's calls wait
- * on threads of their own, a few at once, so that those that need no fleet always have a place.
+ * This instance's part in releases: one thread looks, proposes and carries orders out; the console's calls
+ * wait on threads of their own, a few at once, so that those that need no fleet always have a place.
  */
 public final class Releases implements Closeable {
     /** What it stands on. */
@@ -218,7 +217,8 @@
         return leave != null && leave.number() == order.leave() && leave.run() == order.run();
     }
 
-    private void ofThisOne(Register register, Order order) {
+    /** A drain, or what takes one back, of this very instance. */
+    void ofThisOne(Register register, Order order) {
         boolean drain = order instanceof Order.Drain;
         if (order.run() != fleet.run() || drain && !stands(register, order, PROPOSE_MS)) {
             return;
@@ -437,7 +437,7 @@
             wanted.forEach(hand::addProperty);
         }
         all.add("wanted_by_hand", hand);
-        all.add("agreed", JsonParser.parseString(now.text()));
+        all.add("agreed", GSON.toJsonTree(now));
         return GSON.toJson(all);
     }
 }
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -100,7 +100,7 @@
         String secret = "ab".repeat(16);
         Files.writeString(dir.resolve("short"), "1 abcd");
         Files.writeString(dir.resolve("k7"), "7 " + secret + "\n");
-        Operator o = read(GROUP.replace("'deploy/group.key'", "'" + dir.resolve("k7") + "','deploy/group.key'"));
+        Operator o = read(GROUP.replace("['deploy", "['" + dir.resolve("k7") + "','deploy"));
         assertEquals(List.of(7, 1), List.copyOf(o.group().keys().byId().keySet()));
         assertEquals(16, o.group().keys().byId().get(7).length);
         assertTrue(o.toString().contains("keys [7, 1]") && !o.toString().contains(secret));
@@ -133,8 +133,12 @@
             assertTrue(page.contains("| `" + key + "` |"), key);
         }
         String fleet = Files.readString(Path.of("docs/operators/fleet.md"));
-        for (String part : List.of("subset", "shares", "group", "release")) {
-            JsonObject all = JsonParser.parseString(example).getAsJsonObject();
+        JsonObject all = JsonParser.parseString(example).getAsJsonObject();
+        String release = Files.readString(Path.of("docs/operators/release.md"));
+        for (String key : all.getAsJsonObject("release").keySet()) {
+            assertTrue(release.contains("| `" + key + "` |"), key);
+        }
+        for (String part : List.of("subset", "shares", "group")) {
             for (String key : all.getAsJsonObject(part).keySet()) {
                 assertTrue(fleet.contains("| `" + part + "." + key + "` |"), key);
             }
