--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -4,6 +4,7 @@
 import maplespread.lab.AddressMeasure;
 import maplespread.lab.FleetMeasure;
 import maplespread.lab.RegistryMeasure;
+import maplespread.lab.ReleaseMeasure;
 import maplespread.lab.Report;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -60,8 +61,18 @@
     @Command(name = "fleet", mixinStandardHelpOptions = true,
         description = "How many dispatchers' choices add up: cover, herd, cold work, shares, probes, worth.")
     static final class Fleet extends Part {
+        /** What of the fleet; each a measurement by itself. */
+        enum What { all, release }
+
+        @Option(names = "--part", defaultValue = "all",
+            description = "One of ${COMPLETION-CANDIDATES}; all: how the choices add up (the default).")
+        private What what;
+
         @Override void run(Report report) throws Exception {
-            FleetMeasure.run(quick, report);
+            switch (what) {
+                case release -> ReleaseMeasure.run(quick, report);
+                default -> FleetMeasure.run(quick, report);
+            }
         }
     }
 }
--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -291,7 +291,7 @@
             d.accidents.remove(seen.id());
             Known was = now.members().get(seen.id());
             boolean named = now.on() && !held.release().isEmpty();
-            boolean to = named && !now.release().plan().byVersion()
+            boolean to = named && !byVersion(now, seen)
                 ? now.release().moves() != Phase.ROLLING_BACK : judge(now, seen, was.changed());
             d.members.put(seen.id(), known(now, seen, was, to));
             State next = d.done();
@@ -403,7 +403,7 @@
             Draft d = new Draft(now);
             List<String> fresh = new ArrayList<>();
             for (Member m : put) {
-                if (put(d, now, m)) {
+                if (put(d, now, m) && (now.release() == null || byVersion(now, m))) {
                     fresh.add(m.id());
                 }
             }
@@ -412,7 +412,7 @@
             }
             // A restart has nothing to do with who has just come.
             fresh.removeIf(id -> now.release() == null || now.release().moves() == Phase.ABANDONED
-                || now.release().moves() == Phase.ROLLED_BACK || !now.release().plan().byVersion()
+                || now.release().moves() == Phase.ROLLED_BACK
                 || !now.release().plan().names(id, d.members.get(id)));
             if (!fresh.isEmpty()) {
                 List<List<String>> steps = new ArrayList<>(d.release.steps());
@@ -471,9 +471,14 @@
 
     // ------------------------------------------------------------ parts
 
+    /** Whether its version tells what it is; a worker says none, and is judged by runs. */
+    private static boolean byVersion(State now, Member m) {
+        return now.release().plan().byVersion() && !m.version().isEmpty();
+    }
+
     /** Whether this run is where the release goes to; {@code was}: what a third version leaves as it was. */
     private static boolean judge(State now, Member m, boolean was) {
-        if (now.release() == null || !now.release().plan().byVersion()) {
+        if (now.release() == null || !byVersion(now, m)) {
             return was;
         }
         Plan p = now.release().plan();
