--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -13,11 +14,26 @@
 
 /** N dispatcher processes, their stand-ins and what lies between them. */
 public final class Rig implements Closeable {
+    /** The operators' file of one dispatcher at a version, or null. */
+    public interface Operator {
+        String text(int dispatcher, String version, Rig rig) throws IOException;
+
+        /** One text for all; null: no file. */
+        static Operator same(String text) {
+            return (dispatcher, version, rig) -> text;
+        }
+    }
+
     /**
-     * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code operator}: the
-     * text of the operators' file, null: none; {@code load}: jobs a second over all, 0: by capacity.
+     * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code load}: jobs a
+     * second over all, 0: by capacity; {@code warmMs}: until a worker is warm.
      */
-    public record Plan(int dispatchers, int workers, long seed, int told, String operator, double load) { }
+    public record Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load,
+            long warmMs) {
+        public Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load) {
+            this(dispatchers, workers, seed, told, operator, load, WARM_MS);
+        }
+    }
 
     /** What a client asks for. */
     static final String[] ORGS = {"acme", "brio", "cove"};
@@ -26,13 +42,15 @@
     private static final int SLOTS = 4;
     private static final double FALL = 4;
     private static final double COLD_FROM = 0.12;
-    private static final double WARM_MS = 20_000;
+    private static final long WARM_MS = 20_000;
     final Plan plan;
     final Ledger ledger = new Ledger();
     final List<ServeProcess> dispatchers = new ArrayList<>();
     final List<RigWorker> workers = new ArrayList<>();
     final RigDiscovery discovery;
+    final GroupLinks links;
     final RigClients clients;
+    private final String[] versions;                             // of the dispatchers
     private final Doors doors = new Doors();
     private final Path folder = Files.createTempDirectory("maplespread-rig");
     private final SplittableRandom random;
@@ -41,20 +59,21 @@
     public Rig(Plan plan) throws IOException, InterruptedException {
         this.plan = plan;
         random = new SplittableRandom(plan.seed());
-        Path operator = plan.operator() == null ? null
-            : Files.writeString(folder.resolve("operator.json"), plan.operator());
+        links = new GroupLinks(plan.dispatchers(), plan.seed());
+        versions = new String[plan.dispatchers()];
+        Arrays.fill(versions, "1");
         double capacity = 0;
         for (int w = 0; w < plan.workers(); w++) {
             double speed = 0.8 + random.nextDouble() * 0.8;
             capacity += speed * SLOTS;
-            workers.add(worker("w-" + w, w % 2 == 0 ? "a" : "b", speed, WARM_MS));
+            workers.add(worker("w-" + w, w % 2 == 0 ? "a" : "b", speed));
         }
         discovery = new RigDiscovery(plan.dispatchers(), doors, ledger);
         workers.forEach(w -> discovery.set(w, "SERVING"));
         try {
             for (int d = 0; d < plan.dispatchers(); d++) {
-                dispatchers.add(new ServeProcess("n" + d, folder, operator));
-                dispatchers.get(d).start(config(d));
+                dispatchers.add(new ServeProcess("n" + d, folder));
+                restart(d);
             }
             for (ServeProcess d : dispatchers) {
                 d.awaitServing();
@@ -67,9 +86,9 @@
         clients = new RigClients(this, rate, plan.seed());
     }
 
-    private RigWorker worker(String name, String zone, double speed, double sinceMs) throws IOException {
-        return new RigWorker(name, zone, new WorkerModel.Kind(SLOTS, speed, COLD_FROM, WARM_MS, FALL, 1000),
-            plan.dispatchers(), sinceMs, doors, ledger);
+    private RigWorker worker(String name, String zone, double speed) throws IOException {
+        return new RigWorker(name, zone, new WorkerModel.Kind(SLOTS, speed, COLD_FROM, plan.warmMs(), FALL,
+            1000), plan.dispatchers(), plan.warmMs(), doors, ledger);
     }
 
     /** The settings of a dispatcher, with what discovery would tell now as the list known from before. */
@@ -91,7 +110,7 @@
             + "'domain':{'tellsStart':true,'progressMs':2000,'queueOrder':'fifo'},"
             + "'permissions':{'probing':true,'dialTimeoutMs':250,'connIdleMs':20000,'cancel':true,"
             + "'tryLimit':4,'maxRetryAfterMs':2000},'rules':{'askWithinMs':10000,'answerSlackMs':8,"
-            + "'drainGraceMs':250,'coldFrom':" + COLD_FROM + ",'warmWithinMs':" + WARM_MS + ",'fallMultiple':"
+            + "'drainGraceMs':250,'coldFrom':" + COLD_FROM + ",'warmWithinMs':" + plan.warmMs() + ",'fallMultiple':"
             + FALL + ",'fallMs':1000}}}").replace('\'', '"').replace("@", discovery.whole(d));
     }
 
@@ -101,7 +120,12 @@
     }
 
     void restart(int d) throws IOException {
-        dispatchers.get(d).start(config(d));
+        dispatchers.get(d).start(config(d), plan.operator().text(d, versions[d], this));
+    }
+
+    /** What a dispatcher is started at from now on. */
+    void version(int d, String version) {
+        versions[d] = version;
     }
 
     /**
@@ -112,6 +136,21 @@
         discovery.set(workers.get(w), "SERVING");
     }
 
+    String version(int d) {
+        return versions[d];
+    }
+
+    /** The worker is to get nothing new, and to come back as another run, or as it is. */
+    void drain(RigWorker w) {
+        w.move(true);
+        discovery.set(w, "DRAINING");
+    }
+
+    void takeBack(RigWorker w) {
+        discovery.set(w, "SERVING");
+        w.move(false);
+    }
+
     /**
      * The most that a cold worker was sent within the rule's window, over what fells it: above 1 it falls.
      */
@@ -140,6 +179,7 @@
             Thread.currentThread().interrupt();
         }
         doors.close();
+        links.close();
         if (!gone) {
             throw new IOException("a dispatcher process could not be ended");
         }
