--- a/src/main/java/maplespread/faults/FleetError.java
+++ b/src/main/java/maplespread/faults/FleetError.java
@@ -1,30 +1,29 @@
 package maplespread.faults;
 
-/** What the parts of the fleet that act as one can refuse or fail with, in an operator's words. */
+/** Something that a part of the fleet could not do. Says what is wrong, what still works, and what helps. */
 public abstract class FleetError extends Exception {
-    private final String wrong;
-    private final String works;
-    private final String remedy;
+    private static final long serialVersionUID = 1;
+    private final String wrong, works, remedy;
 
     protected FleetError(String wrong, String works, String remedy) {
-        super(wrong + "; still works: " + works + "; to do: " + remedy);
+        super(wrong + "; " + works + "; " + remedy);
         this.wrong = wrong;
         this.works = works;
         this.remedy = remedy;
     }
 
     /** What is wrong. */
-    public String wrong() {
+    public final String wrong() {
         return wrong;
     }
 
     /** What still works meanwhile. */
-    public String works() {
+    public final String works() {
         return works;
     }
 
     /** What an operator can do. */
-    public String remedy() {
+    public final String remedy() {
         return remedy;
     }
 }
--- a/src/main/java/maplespread/faults/package-info.java
+++ b/src/main/java/maplespread/faults/package-info.java
@@ -1,2 +1,2 @@
-/** The family of errors that the fleet's parts have in common. Calls no other package. */
+/** The errors of the fleet's parts, one family. Owns their common form. Calls no other package. */
 package maplespread.faults;
--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -17,6 +17,7 @@
 import maplespread.release.State.Release;
 import maplespread.release.View.Member;
 import maplespread.release.View.Role;
+import maplespread.release.View.Service;
 
 /**
  * All that can be asked of the state. {@code by}: the instance or operator that asks, for the log;
@@ -116,8 +117,15 @@
     public static Command goOn(String by, String why, long act) {
         return now -> {
             newest(now, act);
-            return now.halt() == null ? now
-                : retried(new Draft(now).log(by, "go on", why).acted(null)).done();
+            if (now.halt() == null) {
+                return now;
+            }
+            Draft d = retried(new Draft(now).log(by, "go on", why).acted(null));
+            Release r = d.release;
+            // Service as it is now is the operator's will: what was before the release counts no more.
+            d.release = r == null ? null : new Release(r.plan(), r.moves(), r.steps(), r.open(), r.tries(),
+                Service.NONE);
+            return d.done();
         };
     }
 
@@ -172,7 +180,7 @@
                 throw refused(Reason.NO_LEAVE, "a drain of " + member + " without leave needs a word");
             }
             Draft d = new Draft(now).log(by, "force " + member, word).disturbed();
-            if (!now.leaves().containsKey(member)) {
+            if (now.members().containsKey(member) && !now.leaves().containsKey(member)) {
                 d.accidents.put(member, new Accident(by, "forced: " + word));
             }
             return d.done();
--- a/src/main/java/maplespread/release/Driver.java
+++ b/src/main/java/maplespread/release/Driver.java
@@ -26,8 +26,8 @@
     /**
      * {@code staggerMs}: by how much later each next instance acts; {@code missMs}: how long one has to be
      * seen out, or serving, before that is told; {@code beatMs}: how often somebody shows that there is a
-     * majority; {@code splitMs}: without one for so long halts. One that has not looked for {@code missMs}
-     * stood still.
+     * majority; {@code splitMs}: without one for so long halts. One that has not looked for three times
+     * {@code missMs} stood still.
      */
     public record Settings(long staggerMs, long missMs, long beatMs, long splitMs) {
         public static final Settings DEFAULT = new Settings(250, 1_000, 2_000, 10_000);
@@ -45,6 +45,7 @@
     private long lookedAt;
     private long calm = -1;
     private long calmSince;
+    private long acts = -1;
     private long aloneSince = -1;
     private State aloneAt;
     private long alone;
@@ -76,7 +77,7 @@
         state = newest;
         view = seen;
         wanted = new HashSet<>();
-        if (now - lookedAt >= set.missMs) {                      // stood still: no wait was whole
+        if (now - lookedAt >= 3 * set.missMs) {                      // stood still: no wait was whole
             since.clear();
             calm = -1;
             aloneSince = -1;
@@ -86,9 +87,11 @@
             calm = state.calm();
             calmSince = now;
         }
-        if (!state.on()) {
+        // Worse is worse than before the release, or than when an operator let it go on.
+        if (!state.on() || acts >= 0 && state.acts() != acts && state.halt() == null) {
             before = view.service();
         }
+        acts = state.acts();
         place = view.members().stream().filter(m -> m.role() == Role.DISPATCHER && m.serving()
             && m.id().compareTo(self) < 0).count();
         majority(majority);
--- a/src/main/java/maplespread/release/Limits.java
+++ b/src/main/java/maplespread/release/Limits.java
@@ -21,10 +21,21 @@
     public static final Limits NONE = new Limits(ANY, ANY, ANY, ANY, 0, 0, (long) ANY, ANY, ANY, ANY);
 
     public Limits {
-        if (!(dispatchersOut >= 0 && workersOut >= 0 && workersOutZone >= 0 && workersOutKind >= 0
-                && leastCapacity >= 0 && leastCapacity <= 1 && quietMs >= 0 && backMs > 0
-                && worseRefused >= 0 && worseErrors >= 0 && worseWait >= 0)) {
-            throw new IllegalArgumentException("a limit is out of its range: " + quietMs + " " + backMs);
+        in("dispatchers_out", dispatchersOut, 0, ANY);
+        in("workers_out", workersOut, 0, ANY);
+        in("workers_out_zone", workersOutZone, 0, ANY);
+        in("workers_out_kind", workersOutKind, 0, ANY);
+        in("least_capacity", leastCapacity, 0, 1);
+        in("quiet_ms", quietMs, 0, ANY);
+        in("back_ms", backMs, 1, ANY);
+        in("worse_refused", worseRefused, 0, ANY);
+        in("worse_errors", worseErrors, 0, ANY);
+        in("worse_wait", worseWait, 0, ANY);
+    }
+
+    private static void in(String key, double value, double from, double to) {
+        if (!(value >= from && value <= to)) {
+            throw new IllegalArgumentException(key + ": " + value + " is not in " + from + " to " + to);
         }
     }
 
--- a/src/main/java/maplespread/release/Order.java
+++ b/src/main/java/maplespread/release/Order.java
@@ -13,7 +13,10 @@
     /** The number of the leave. */
     long leave();
 
-    /** Drain. Refused once a {@link Recall} of this or a later number was carried out. */
+    /**
+     * Drain. Refused once a {@link Recall} of this or a later number was carried out; the host then says
+     * {@link Driver#recalled} again, for the one that was told may be gone.
+     */
     record Drain(String member, long run, long leave) implements Order { }
 
     /**
