Ordered partitions: table of rules, owners of slots, fence and lines of keys, as cores

The business needs order by key over the whole fleet, whichever dispatcher a job comes to. Not part of serve yet.

--- /dev/null
+++ b/src/main/java/maplespread/partition/KeyQueue.java
@@ -0,0 +1,280 @@
+package maplespread.partition;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.ToIntFunction;
+
+/**
+ * The jobs of the keys that this member owns: of each key one out at most, the others in the order in which
+ * they were taken. Whether the fence lets a job go is asked at each send.
+ *
+ * <p>Guards against a key whose head's outcome is not known being served on while it may still run, against
+ * work for jobs that can no longer make their deadline, and against a hot key that takes the room of others:
+ * one key may fill no more of a partition's bound than is left free.
+ */
+public final class KeyQueue {
+    /** Why a job is answered without having gone out. All but {@code STOPPED} may be tried again. */
+    public enum Answer { LATE, AGED, FULL, SKIPPED, STOPPED, MOVED }
+
+    /** How a job that was out has ended, all its attempts together. */
+    public enum Outcome { DONE, FAILED, NEVER_RAN, UNKNOWN }
+
+    /**
+     * A job as it is taken; times are milliseconds of the clock that is passed in. {@code workMs}: how long
+     * it is thought to run, 0 where nobody knows.
+     */
+    public record Job(long id, String key, Rule rule, double workMs, long deadline, long takenAt) { }
+
+    /** What the queue asks and tells; none of these calls may call back. */
+    public interface Sink {
+        /** From when on the job may be sent; {@link Fence#NEVER}: no longer by this member. */
+        long from(Job job);
+
+        void send(Job job);
+
+        void answer(Job job, Answer why);
+    }
+
+    private static final class Line {
+        final Map<Long, Job> waiting = new LinkedHashMap<>();
+        Job out;
+        long sentAt;
+        long heldUntil = Long.MIN_VALUE;
+        boolean stopping;                                        // not seen among the stored ones yet
+        long dueAt = Long.MAX_VALUE;
+    }
+
+    private record Due(long at, String key) { }
+
+    /** What waits in one partition. */
+    private static final class Sum {
+        int jobs;
+        double workMs;
+    }
+
+    private final FenceSettings set;
+    private final Map<String, Bounds> bounds = new HashMap<>();
+    private final Sink sink;
+    private final Map<String, Line> lines = new HashMap<>();
+    private final Map<Long, String> keys = new HashMap<>();      // of all that wait or are out
+    private final Map<String, Sum> sums = new HashMap<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+    private Set<String> stopped = Set.of();
+
+    public KeyQueue(FenceSettings set, Sink sink) {
+        this.set = set;
+        this.sink = sink;
+    }
+
+    /** These partitions there are now. */
+    public void partitions(Collection<Partition> all) {
+        all.forEach(p -> bounds.put(p.name(), p.bounds()));
+    }
+
+    /** The stored keys that are stopped; one that is no longer among them takes jobs again. */
+    public void stopped(Set<String> stored) {
+        stopped = stored;
+        for (String key : stored) {
+            Line line = lines.get(key);
+            if (line != null) {
+                line.stopping = false;
+            }
+        }
+    }
+
+    /**
+     * Keys that have stopped here and are not stored yet ({@link Owners#stop}): to be stored before the
+     * failure of their head is answered.
+     */
+    public Set<String> stopping() {
+        Set<String> all = new TreeSet<>();
+        lines.forEach((key, line) -> {
+            if (line.stopping) {
+                all.add(key);
+            }
+        });
+        return all;
+    }
+
+    /** The stop was not taken up, so the failure is answered as in doubt, and the key goes on. */
+    public void notStored(long now, String key) {
+        Line line = lines.get(key);
+        if (line != null) {
+            line.stopping = false;
+            look(now, key, line);
+        }
+    }
+
+    /** Jobs that wait for their turn. */
+    public int waiting() {
+        return sums.values().stream().mapToInt(s -> s.jobs).sum();
+    }
+
+    /** Milliseconds of work that wait for a partition: what is to come there. */
+    public double workToCome(String partition) {
+        Sum sum = sums.get(partition);
+        return sum == null ? 0 : sum.workMs;
+    }
+
+    /** Takes a job: from here on its place in its key's line is fixed. */
+    public void take(long now, Job job) {
+        Line line = lines.computeIfAbsent(job.key, k -> new Line());
+        if (stopped.contains(job.key) || line.stopping) {
+            sink.answer(job, Answer.STOPPED);
+        } else if (full(line, job)) {
+            sink.answer(job, Answer.FULL);
+        } else {
+            line.waiting.put(job.id, job);
+            keys.put(job.id, job.key);
+            count(job, 1);
+        }
+        look(now, job.key, line);
+    }
+
+    private boolean full(Line line, Job job) {
+        Sum sum = sums.computeIfAbsent(job.rule.partition(), p -> new Sum());
+        Bounds each = job.rule.eachKey();
+        Bounds all = bounds.get(job.rule.partition());
+        double work = job.workMs + line.waiting.values().stream().mapToDouble(Job::workMs).sum();
+        int jobs = line.waiting.size() + 1;
+        return jobs > each.jobs() || work > each.workMs() || jobs > all.jobs() - sum.jobs
+            || work > all.workMs() - sum.workMs;
+    }
+
+    private void count(Job job, int sign) {
+        Sum sum = sums.get(job.rule.partition());
+        sum.jobs += sign;
+        sum.workMs = sum.jobs == 0 ? 0 : sum.workMs + sign * job.workMs;
+    }
+
+    /** The job that was out has ended. */
+    public void ended(long now, long id, Outcome how) {
+        String key = keys.get(id);
+        Line line = key == null ? null : lines.get(key);
+        if (line == null || line.out == null || line.out.id != id) {
+            return;
+        }
+        Rule rule = line.out.rule;
+        keys.remove(id);
+        line.out = null;
+        if (how == Outcome.UNKNOWN) {
+            line.heldUntil = now + set.surely(rule.runsMs());
+        }
+        // Where nobody knows, it may have failed.
+        if (how == Outcome.FAILED || how == Outcome.UNKNOWN) {
+            if (rule.failed() == Rule.Failed.STOP) {
+                line.stopping = true;
+                drop(line, Answer.STOPPED);
+            } else if (rule.failed() == Rule.Failed.SKIP) {
+                drop(line, Answer.SKIPPED);
+            }
+        }
+        look(now, key, line);
+    }
+
+    private void drop(Line line, Answer why) {
+        for (Job job : List.copyOf(line.waiting.values())) {
+            answer(line, job, why);
+        }
+    }
+
+    private void answer(Line line, Job job, Answer why) {
+        leave(line, job);
+        keys.remove(job.id);
+        sink.answer(job, why);
+    }
+
+    private void leave(Line line, Job job) {
+        line.waiting.remove(job.id);
+        count(job, -1);
+    }
+
+    /** Nobody waits for the job any more. One that is out still holds its key. */
+    public void gone(long now, long id) {
+        String key = keys.get(id);
+        Line line = key == null ? null : lines.get(key);
+        if (line != null && line.waiting.containsKey(id)) {
+            leave(line, line.waiting.get(id));
+            keys.remove(id);
+            look(now, key, line);
+        }
+    }
+
+    /** Does what is due; returns when to be called again. */
+    public long tick(long now) {
+        while (!dues.isEmpty() && dues.peek().at <= now) {
+            Due due = dues.remove();
+            Line line = lines.get(due.key);
+            if (line != null && line.dueAt == due.at) {
+                line.dueAt = Long.MAX_VALUE;
+                look(now, due.key, line);
+            }
+        }
+        return dues.isEmpty() ? Long.MAX_VALUE : dues.peek().at;
+    }
+
+    /** The fence or the tables have changed: every line is looked at. */
+    public void changed(long now) {
+        for (String key : List.copyOf(lines.keySet())) {
+            look(now, key, lines.get(key));
+        }
+    }
+
+    /** Slots of which a job is out or may still run, or a stop is to be stored. */
+    public Set<Integer> busy(long now, ToIntFunction<String> slotOf) {
+        Set<Integer> all = new HashSet<>();
+        lines.forEach((key, line) -> {
+            if (line.out != null || line.heldUntil > now || line.stopping) {
+                all.add(slotOf.applyAsInt(key));
+            }
+        });
+        return all;
+    }
+
+    /** Answers what cannot go out in time, sends the head if it may go, and notes when to look again. */
+    private void look(long now, String key, Line line) {
+        long free = Math.max(now, line.heldUntil);
+        if (line.out != null) {
+            free = Math.max(free, line.sentAt + (long) line.out.workMs);
+        }
+        long due = line.heldUntil > now ? line.heldUntil : Long.MAX_VALUE;
+        for (Job job : new ArrayList<>(line.waiting.values())) {
+            long from = sink.from(job);
+            long start = Math.max(free, from);
+            long oldest = job.takenAt + Math.min(job.rule.eachKey().ageMs(),
+                bounds.get(job.rule.partition()).ageMs());
+            if (from == Fence.NEVER) {
+                answer(line, job, Answer.MOVED);
+            } else if (start + job.workMs > job.deadline) {
+                answer(line, job, Answer.LATE);
+            } else if (now >= oldest) {
+                answer(line, job, Answer.AGED);
+            } else if (line.out == null && start <= now) {
+                leave(line, job);
+                line.out = job;
+                line.sentAt = now;
+                free = now + (long) job.workMs;
+                sink.send(job);
+            } else {
+                // Behind a head that runs over, the last moment comes before the one that was reckoned.
+                due = Math.min(due, Math.min(oldest, (long) (job.deadline - job.workMs) + 1));
+                due = line.out == null ? Math.min(due, start) : due;
+                free = start + (long) job.workMs;
+            }
+        }
+        if (line.waiting.isEmpty() && line.out == null && line.heldUntil <= now && !line.stopping) {
+            lines.remove(key);
+        } else if (due < Long.MAX_VALUE && due != line.dueAt) {
+            line.dueAt = due;
+            dues.add(new Due(due, key));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/partition/Owners.java
@@ -0,0 +1,176 @@
+package maplespread.partition;
+
+import com.google.gson.Gson;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import maplespread.decision.Numbers;
+
+/**
+ * Who of the fleet may send for which slot of keys, and by which table: the one value that the fleet agrees
+ * on, kept as text in a replicated register. Each command makes a new value of the old one.
+ *
+ * <p>A member is one run of one dispatcher, {@code NAME#RUN}, so that a restart is another member.
+ * {@code version} grows with every change; {@code epoch} with those after which leases of before end:
+ * members, silence and tables. {@code silent}: members that get no lease, and since which epoch; {@code
+ * tableSince}: the epoch of the table; {@code stopped}: keys that are stopped until they are started again.
+ */
+public record Owners(long version, long epoch, Set<String> members, Map<String, Long> silent,
+                     List<Slot> slots, String table, String before, long tableSince, Set<String> stopped) {
+    /** More stopped keys than this are not stored. */
+    public static final int MOST_STOPPED = 1000;
+    private static final Gson GSON = new Gson();
+
+    /**
+     * {@code owner}: a member, empty: nobody; {@code since}: the epoch at which it came to own the slot;
+     * {@code leavers}: earlier owners that may still have jobs out, and since which epoch they have been
+     * silent without a break; 0: they were not.
+     */
+    public record Slot(String owner, long since, Map<String, Long> leavers) {
+        public Slot {
+            leavers = Map.copyOf(leavers);
+        }
+    }
+
+    public Owners {
+        members = Set.copyOf(members);
+        silent = Map.copyOf(silent);
+        slots = List.copyOf(slots);
+        stopped = Set.copyOf(stopped);
+    }
+
+    /** Before anything was agreed on: nobody owns anything. */
+    public static Owners first(int slots, String table) {
+        List<Slot> all = new ArrayList<>();
+        for (int i = 0; i < slots; i++) {
+            all.add(new Slot("", 1, Map.of()));
+        }
+        return new Owners(1, 1, Set.of(), Map.of(), all, table, table, 1, Set.of());
+    }
+
+    public static Owners read(String text) {
+        return GSON.fromJson(text, Owners.class);
+    }
+
+    public String text() {
+        return GSON.toJson(this);
+    }
+
+    /** The slot of a key. */
+    public int slotOf(String key) {
+        return (int) Math.floorMod(Numbers.hash(key), (long) slots.size());
+    }
+
+    /**
+     * These are the members now. Each slot goes to the one of them with the highest hash of name and slot, so
+     * that only slots of those that come or go move.
+     */
+    public Owners members(Set<String> now) {
+        if (now.stream().map(Owners::name).distinct().count() < now.size()) {
+            throw new IllegalArgumentException("two runs of one dispatcher: " + now);
+        }
+        if (now.equals(members)) {
+            return this;
+        }
+        List<Slot> next = new ArrayList<>();
+        for (int i = 0; i < slots.size(); i++) {
+            next.add(move(slots.get(i), best(i, now)));
+        }
+        Map<String, Long> quiet = new TreeMap<>(silent);
+        quiet.keySet().retainAll(now);
+        return new Owners(version + 1, epoch + 1, now, quiet, next, table, before, tableSince, stopped);
+    }
+
+    private Slot move(Slot slot, String to) {
+        if (slot.owner.equals(to)) {
+            return slot;
+        }
+        Map<String, Long> leavers = new TreeMap<>(slot.leavers);
+        if (!slot.owner.isEmpty()) {
+            leavers.put(slot.owner, silent.getOrDefault(slot.owner, 0L));
+        }
+        leavers.remove(to);                                      // knows by itself what it has out
+        return new Slot(to, epoch + 1, leavers);
+    }
+
+    private static String best(int slot, Set<String> members) {
+        String best = "";
+        long most = 0;
+        for (String m : members) {
+            long hash = Numbers.hash(name(m) + "/" + slot);
+            if (best.isEmpty() || hash > most || hash == most && m.compareTo(best) < 0) {
+                best = m;
+                most = hash;
+            }
+        }
+        return best;
+    }
+
+    private static String name(String member) {
+        return member.substring(0, member.lastIndexOf('#'));
+    }
+
+    /**
+     * These members have not been heard: they get no lease until they are. No slot moves by this, but the
+     * time that a successor has to wait begins to run.
+     */
+    public Owners silent(Set<String> now) {
+        Map<String, Long> next = new TreeMap<>();
+        now.stream().filter(members::contains).forEach(m -> next.put(m, silent.getOrDefault(m, epoch + 1)));
+        return next.equals(silent) ? this
+            : new Owners(version + 1, epoch + 1, members, next, slots, table, before, tableSince, stopped);
+    }
+
+    /** The member says that it has nothing out for these slots, which it has lost, and will not have. */
+    public Owners confirm(String member, Set<Integer> done) {
+        List<Slot> next = new ArrayList<>(slots);
+        for (int i : done) {
+            Map<String, Long> leavers = new TreeMap<>(slots.get(i).leavers);
+            leavers.remove(member);
+            next.set(i, new Slot(slots.get(i).owner, slots.get(i).since, leavers));
+        }
+        return next.equals(slots) ? this : new Owners(version + 1, epoch, members, silent, next, table,
+            before, tableSince, stopped);
+    }
+
+    /**
+     * Another table counts. {@code seen}: {@link #tableSince} as the caller knows it, and has known for
+     * {@link Tables#mayChange}; where another table has come meanwhile, nothing changes.
+     */
+    public Owners table(String next, long seen) {
+        return seen != tableSince || next.equals(table) ? this : new Owners(version + 1, epoch + 1, members,
+            silent, slots, next, table, epoch + 1, stopped);
+    }
+
+    /**
+     * The key's head has failed at this member, under a rule that stops it. Counts only while the member owns
+     * the key's slot: a successor that has waited long enough does not look here again.
+     */
+    public Owners stop(String member, String key) {
+        return stopped.contains(key) || stopped.size() >= MOST_STOPPED
+            || !slots.get(slotOf(key)).owner.equals(member) ? this : with(key, true);
+    }
+
+    /** The key may go on. */
+    public Owners start(String key) {
+        return stopped.contains(key) ? with(key, false) : this;
+    }
+
+    private Owners with(String key, boolean in) {
+        Set<String> next = new TreeSet<>(stopped);
+        if (in) {
+            next.add(key);
+        } else {
+            next.remove(key);
+        }
+        return new Owners(version + 1, epoch, members, silent, slots, table, before, tableSince, next);
+    }
+
+    /** Whether an elector that holds this value may tell the member that its epoch is the latest. */
+    public boolean grants(String member, long asked) {
+        return asked >= epoch && members.contains(member) && !silent.containsKey(member);
+    }
+}
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -36,7 +36,7 @@
     void whatDecidesDoesNoInputOrOutput() {
         String[] pure = {"maplespread.decision", "maplespread.registry", "maplespread.registry.wire",
             "maplespread.membership", "maplespread.address", "maplespread.announce", "maplespread.subset",
-            "maplespread.fair"};
+            "maplespread.fair", "maplespread.partition", "maplespread.faults"};
         noClasses().that().resideInAnyPackage(pure).should().dependOnClassesThat()
             .resideInAnyPackage("java.nio.file..", "java.nio.channels..",
                 "java.util.concurrent..", "java.time..", "org.tinylog..", "maplespread.http..",
@@ -73,7 +73,8 @@
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
                 "upgrade", "subset", "fair", "lab/fleet",
-                "lab/rig")) {
+                "lab/rig",
+                "partition", "faults", "lab/partition")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
         try (Stream<Path> all = Files.walk(Path.of("src/main/java/maplespread/registry"))) {
--- /dev/null
+++ b/src/test/java/maplespread/partition/TableTest.java
@@ -0,0 +1,224 @@
+package maplespread.partition;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import maplespread.partition.TableReader.Site;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Random tables against a plain reading of their text, and each error from the text that causes it. */
+class TableTest {
+    private static final Site SITE = new Site(List.of("stock", "price"), List.of("a", "b"),
+        List.of("z1", "z2"), List.of("big", "small"), List.of(new Partition.Worker("w1", "z1", "big", 1)));
+    private static final List<String> TEXTS = List.of("", "a", "ab", "abc", "b", "ba", "c");
+
+    private static boolean plainly(JsonObject when, Attributes job) {
+        for (String name : when.keySet()) {
+            Object v = job.get(name);
+            JsonElement e = when.get(name);
+            JsonObject o = e.isJsonObject() ? e.getAsJsonObject() : new JsonObject();
+            JsonElement in = o.has("in") ? o.get("in") : e;
+            boolean ok = v != null && (in.isJsonObject() || in.isJsonPrimitive() && same(in, v)
+                || in.isJsonArray() && in.getAsJsonArray().asList().stream().anyMatch(x -> same(x, v)));
+            ok = ok && (!o.has("prefix") || v.toString().startsWith(o.get("prefix").getAsString()))
+                && (!o.has("from") || (Double) v >= o.get("from").getAsDouble())
+                && (!o.has("below") || (Double) v < o.get("below").getAsDouble())
+                && (!o.has("share") || Asks.Share.unit(v.toString()) < 0.5 == (o.getAsJsonArray("share")
+                    .get(0).getAsDouble() == 0));
+            if (!ok) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean same(JsonElement e, Object v) {
+        return v instanceof Double d ? e.getAsDouble() == d : e.getAsString().equals(v);
+    }
+
+    private static String when(SplittableRandom r) {
+        List<String> all = new ArrayList<>();
+        for (String name : List.of("class", "tenant", "entity", "path", "label.x")) {
+            String text = TEXTS.get(r.nextInt(TEXTS.size()));
+            int from = r.nextInt(4);
+            boolean label = name.equals("label.x");
+            boolean closed = name.equals("class") || name.equals("tenant");
+            String one = label ? "" + r.nextInt(4) : closed
+                ? "\"" + (name.equals("class") ? SITE.classes() : SITE.tenants()).get(r.nextInt(2)) + "\""
+                : "\"" + text + "\"";
+            String asks = switch (r.nextInt(label ? 4 : closed ? 2 : 6)) {
+                case 0 -> one;
+                case 1 -> label ? "{\"in\":[1,2],\"from\":" + from + "}" : "[" + one + "]";
+                case 2 -> label ? "{\"from\":" + from + "}" : "{\"prefix\":\"" + text + "\"}";
+                case 3 -> label ? "{\"from\":" + from + ",\"below\":" + (from + 1 + r.nextInt(2)) + "}"
+                    : "{\"share\":" + (r.nextBoolean() ? "[0,0.5]" : "[0.5,1]") + "}";
+                case 4 -> "{\"prefix\":\"" + text + "\",\"share\":[0,0.5]}";
+                default -> "{\"prefix\":\"a\",\"in\":[\"ab\",\"" + text + "\"]}";
+            };
+            if (r.nextInt(3) == 0) {
+                all.add("\"" + name + "\":" + asks);
+            }
+        }
+        return "{" + String.join(",", all) + "}";
+    }
+
+    private static List<Attributes> jobs() {
+        List<Attributes> all = new ArrayList<>();
+        for (String cls : SITE.classes()) {
+            for (String tenant : SITE.tenants()) {
+                for (String entity : new String[] {null, "", "a", "a1", "a2", "ab", "ab1", "ab2", "abc",
+                    "abc1", "abc2", "b", "b1", "b2", "ba", "ba1", "ba2", "c", "c1", "c2", "d", "d1"}) {
+                    for (String path : List.of("", "a", "a1", "ab", "ab1", "abc", "abc1", "b", "b1", "ba",
+                            "ba1", "c", "c1", "d")) {
+                        for (double x = -0.5; x < 6; x += 0.5) {
+                            Map<String, Double> labels = x < 0 ? Map.of() : Map.of("x", x);
+                            all.add(new Attributes(cls, tenant, entity, path, labels));
+                        }
+                    }
+                }
+            }
+        }
+        return all;
+    }
+
+    private static final List<Attributes> JOBS = jobs();
+
+    /** The first that matches, read rule by rule; a rule is refused as dead only if no job comes to it. */
+    @Property(tries = 60, seed = "27")
+    void decidesAsThePlainReadingDoes(@ForAll long seed) throws TableError {
+        SplittableRandom r = new SplittableRandom(seed);
+        List<String> whens = new ArrayList<>();
+        for (int i = 0, n = 1 + r.nextInt(80); i < n; i++) {
+            whens.add(when(r));
+        }
+        whens.removeIf(w -> w.equals("{}"));
+        whens.add("{}");
+        List<Attributes> some = r.ints(500, 0, JOBS.size()).mapToObj(JOBS::get).toList();
+        List<Attributes> most = r.ints(3000, 0, JOBS.size()).mapToObj(JOBS::get).toList();
+        while (true) {
+            List<JsonObject> read = whens.stream().map(w -> JsonParser.parseString(w).getAsJsonObject())
+                .toList();
+            String rows = IntStream.range(0, read.size()).mapToObj(i -> "{\"name\":\"" + i + "\",\"when\":"
+                + whens.get(i) + "}").collect(Collectors.joining(","));
+            try {
+                Table table = TableReader.read("{\"rules\":[" + rows + "]}", SITE);
+                for (Attributes job : some) {
+                    int plain = IntStream.range(0, read.size()).filter(i -> plainly(read.get(i), job))
+                        .findFirst().getAsInt();
+                    assertEquals("" + plain, table.decide(job).name(), whens + " " + job);
+                }
+                return;
+            } catch (TableError e) {
+                assertEquals(TableError.Kind.NEVER_MATCHES, e.kind(), e.getMessage());
+                int dead = Integer.parseInt(e.where().substring(5));
+                assertTrue(most.stream().filter(j -> plainly(read.get(dead), j)).allMatch(j ->
+                    read.subList(0, dead).stream().anyMatch(w -> plainly(w, j))), e.getMessage() + whens);
+                whens.remove(dead);
+            }
+        }
+    }
+
+    /** Without shares every kind of value is among the jobs, so a rule that is let through meets one. */
+    @Property(tries = 60, seed = "27")
+    void everyRuleThatIsLetThroughMeetsAJob(@ForAll long seed) throws TableError {
+        SplittableRandom r = new SplittableRandom(seed);
+        List<String> whens = Stream.generate(() -> when(r))
+            .filter(w -> !w.equals("{}") && !w.contains("share")).limit(2 + r.nextInt(6)).toList();
+        String rows = whens.stream().map(w -> "{\"when\":" + w + "},").collect(Collectors.joining());
+        try {
+            Table table = TableReader.read("{\"rules\":[" + rows + "{}]}", SITE);
+            Set<String> came = JOBS.stream().map(j -> table.decide(j).name()).collect(Collectors.toSet());
+            came.add("" + (whens.size() + 1));
+            assertEquals(whens.size() + 1, came.size(), whens + " " + came);
+        } catch (TableError e) {
+            assertEquals(TableError.Kind.NEVER_MATCHES, e.kind(), e.getMessage());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "MALFORMED     |                | nonsense",
+        "MALFORMED     |                | {'rules':[]}",
+        "MALFORMED     | rule 1         | {'rules':[{'runs_ms':0}]}",
+        "MALFORMED     | rule b         | {'rules':[{'name':'b','order':'by_key','failed':'stop'}]}",
+        "MALFORMED     | rule 1         | {'rules':[{'key':'tenant'}]}",
+        "MALFORMED     | rule 1         | {'rules':[{'when':{'label.x':'a'}},{}]}",
+        "MALFORMED     | rule 2         | {'rules':[{'name':'2','when':{'tenant':'a'}},{}]}",
+        "MALFORMED     | partition p    | {'partitions':{'p':{'ring':[0.5,0.5]}},'rules':[{}]}",
+        "UNKNOWN_NAME  | rule 1         | {'rules':[{'when':{'class':['stock','stok']}},{}]}",
+        "UNKNOWN_NAME  | rule 1         | {'rules':[{'when':{'label.':1}},{}]}",
+        "UNKNOWN_NAME  | rule 1         | {'rules':[{'when':{'entity':{'prefx':'a'}}},{}]}",
+        "UNKNOWN_NAME  | rule 1         | {'rules':[{'to':'p'}]}",
+        "UNKNOWN_NAME  | rule 1         | {'rules':[{'order':'by_kye'}]}",
+        "UNKNOWN_NAME  | partition p    | {'partitions':{'p':{'zones':['z3']}},'rules':[{}]}",
+        "NEVER_MATCHES | rule 2         | {'rules':[{},{'when':{'tenant':'a'}},{}]}",
+        "NEVER_MATCHES | rule 3         | {'rules':[{'when':{'class':'stock'}},{'when':{'class':'price'}},"
+            + "{'when':{'tenant':'a'}},{}]}",
+        "NEVER_MATCHES | rule 1         | {'rules':[{'when':{'entity':{'in':['a'],'prefix':'b'}}},{}]}",
+        "NEVER_MATCHES | rule 2         | {'rules':[{'when':{'entity':{'prefix':'a'}}},"
+            + "{'when':{'entity':'ab'}},{}]}",
+        "NO_DEFAULT    | rule 1         | {'rules':[{'when':{'class':'stock'}}]}",
+        "EMPTY         | partition p    | {'partitions':{'p':{'zones':['z2']}},'rules':[{}]}",
+        "OVERLAP       | partition p    | {'partitions':{'p':{'kinds':['big'],'apart':true},"
+            + "'q':{'zones':['z1']}},'rules':[{}]}",
+        "SPILL         | rule 1         | {'rules':[{'order':'by_key','spill':['all']}]}",
+        "SPILL         | rule 1         | {'rules':[{'spill':['all']}]}",
+        "SPILL         | rule 2         | {'partitions':{'p':{},'q':{}},'rules':[{'when':{'class':'stock'},"
+            + "'to':'p','spill':['q']},{'to':'q','spill':['p']}]}"})
+    void eachErrorNamesItsPlaceAndWhatToDo(TableError.Kind kind, String where, String text) {
+        TableError e = assertThrows(TableError.class, () -> TableReader.read(text.replace('\'', '"'), SITE));
+        assertEquals(kind + where, e.kind() + (e.where().isEmpty() ? null : e.where()), e.getMessage());
+        assertTrue(e.getMessage().endsWith("; to do: " + e.remedy()) && !e.remedy().isBlank());
+    }
+
+    /** 1,000 rules of all kinds, the worst of five rounds' best: jobs that fall through to the last rules. */
+    @Test
+    void aThousandRulesAreDecidedInUnderTwoMicroseconds() throws TableError {
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < 999; i++) {
+            rows.append("{\"when\":{\"class\":\"stock\",").append(switch (i % 4) {
+                case 0 -> "\"entity\":\"e" + i + "\"";
+                case 1 -> "\"path\":{\"prefix\":\"/p/" + i + "/\"}";
+                case 2 -> "\"label.x\":{\"from\":" + i + ",\"below\":" + (i + 1) + "}";
+                default -> "\"path\":{\"share\":[" + i / 1e3 + "," + (i + 0.5) / 1e3 + "]},\"tenant\":\"a\"";
+            }).append("}},");
+        }
+        Table table = TableReader.read("{\"rules\":[" + rows + "{}]}", SITE);
+        List<Attributes> jobs = new ArrayList<>();
+        Map<String, Integer> came = new TreeMap<>();
+        for (int i = 0; i < 4096; i++) {
+            jobs.add(new Attributes("stock", i % 3 == 0 ? "a" : "b", "e" + i, "/p/" + i % 1500 + "/x",
+                Map.of("x", (i % 2000) + 0.5)));
+            came.merge(table.decide(jobs.get(i)).name(), 1, Integer::sum);
+        }
+        assertTrue(came.size() > 600, "rules met: " + came.size());
+        double best = Double.MAX_VALUE;
+        for (int round = 0; round < 100; round++) {
+            long from = System.nanoTime();
+            long sum = 0;
+            for (Attributes job : jobs) {
+                sum += table.decide(job).runsMs();
+            }
+            best = Math.min(best, (System.nanoTime() - from) / 4096.0 + sum * 0);
+        }
+        System.out.printf("1,000 rules: %.0f ns a decision%n", best);
+        assertTrue(best < 2000, "ns a decision: " + best);
+    }
+}
