--- a/src/test/java/maplespread/partition/TableTest.java
+++ b/src/test/java/maplespread/partition/TableTest.java
@@ -7,6 +7,8 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -188,6 +190,37 @@
         assertTrue(e.getMessage().endsWith("; to do: " + e.remedy()) && !e.remedy().isBlank());
     }
 
+    @Test
+    void atAChangeOnlyJobsWhoseKeyChangesWait() throws TableError {
+        String text = "{\"rules\":[{\"when\":{\"class\":\"stock\"},\"order\":\"by_key\",\"key\":\"KEY\","
+            + "\"runs_ms\":7},{\"order\":\"by_key\"}]}";
+        Table old = TableReader.read(text.replace("KEY", "entity"), SITE);
+        Table next = TableReader.read(text.replace("KEY", "tenant"), SITE);
+        Tables tables = new Tables();
+        tables.learned(0, 5, next, old, 300);
+        tables.learned(200, 5, next, old, 300);                  // the same again
+        Attributes stock = new Attributes("stock", "a", "e", "/", Map.of());
+        Attributes price = new Attributes("price", "a", "e", "/", Map.of());
+        assertEquals("tenant=a from 300", tables.decide(299, stock).key() + " from "
+            + tables.decide(299, stock).from());
+        assertTrue(tables.decide(299, price).from() < 0 && tables.decide(300, stock).from() < 0);
+        assertTrue(!tables.mayChange(299) && tables.mayChange(300));
+        assertEquals(1000, Tables.longestRunMs(next, old));
+    }
+
+    /** The operators' page shows a table that can be read. */
+    @Test
+    void theExampleOfThePageIsRead() throws Exception {
+        String page = Files.readString(Path.of("docs/operators/partition.md"));
+        String example = page.substring(page.indexOf("    {\n"), page.indexOf("\n    }\n") + 7);
+        Site site = new Site(SITE.classes(), SITE.tenants(), SITE.zones(), SITE.kinds(), List.of());
+        assertEquals("sync", TableReader.read(example, site)
+            .decide(new Attributes("stock", "a", "e", "/", Map.of())).name());
+        for (TableError.Kind kind : TableError.Kind.values()) {
+            assertTrue(page.contains("| `" + kind + "` |"), kind + " stands on no page");
+        }
+    }
+
     /** 1,000 rules of all kinds, the worst of five rounds' best: jobs that fall through to the last rules. */
     @Test
     void aThousandRulesAreDecidedInUnderTwoMicroseconds() throws TableError {
