--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -61,8 +61,8 @@
         long dial = in.whole("dial_ms", RegistrySettings.DIAL_MS, 1, 60_000);
         long silence = in.whole("silence_ms", RegistrySettings.SILENCE_MS, 10, 3_600_000);
         long wait = in.whole("wait_ms", RegistrySettings.waitFor(endpoints.size()), 100, 600_000);
-        long answer = in.whole("answer_ms", RegistrySettings.answerFor(dialect, endpoints.size(), dial,
-            silence, wait), 10, 600_000);
+        long answer = in.whole("answer_ms", RegistrySettings.answerFor(dialect, endpoints.size(),
+            follow.size(), dial, silence, wait), 10, 600_000);
         RegistrySettings settings = new RegistrySettings(dialect, endpoints, follow,
             in.string("token_file", ""),
             (int) in.whole("page", 1000, 1, 100_000),
@@ -78,8 +78,9 @@
                 ? "less than one request in answer_ms (" + answer + ")"
                 : "after a silence the new word may take " + settings.worstMs() + " ms with dial_ms " + dial
                     + ", answer_ms " + answer + (dialect == Dialect.ETCD ? ", silence_ms " + silence
-                    : ", wait_ms " + wait) + " and " + endpoints.size() + " endpoints; at most "
-                    + settings.clockMs() + " are allowed");
+                    : ", wait_ms " + wait) + ", " + endpoints.size()
+                    + " endpoints and " + follow.size() + " to follow; at most " + settings.clockMs()
+                    + " are allowed");
         }
         if (settings.notReadyAfterMs() > 0 && settings.notReadyAfterMs() < settings.clockMs()) {
             throw in.error("not_ready_after_ms", "must be 0 or at least " + settings.clockMs()
--- a/src/main/java/maplespread/registry/RegistrySettings.java
+++ b/src/main/java/maplespread/registry/RegistrySettings.java
@@ -39,8 +39,8 @@
     public static RegistrySettings of(Dialect dialect, List<String> endpoints, List<String> follow) {
         int n = endpoints.size();
         return new RegistrySettings(dialect, endpoints, follow, "", 1000, 2000, DIAL_MS,
-            answerFor(dialect, n, DIAL_MS, SILENCE_MS, waitFor(n)), SILENCE_MS, waitFor(n), 30_000, 3000,
-            15_000, 60_000);
+            answerFor(dialect, n, follow.size(), DIAL_MS, SILENCE_MS, waitFor(n)), SILENCE_MS, waitFor(n),
+            30_000, 3000, 15_000, 60_000);
     }
 
     /** A long wait costs the registry less; with many endpoints only a short one leaves time for them. */
@@ -49,10 +49,11 @@
     }
 
     /** The longest time for an answer that keeps the clock, in steps of 50 ms; 1 s is enough for any. */
-    public static long answerFor(Dialect dialect, int endpoints, long dialMs, long silenceMs, long waitMs) {
+    public static long answerFor(Dialect dialect, int endpoints, int follow, long dialMs, long silenceMs,
+            long waitMs) {
         long answer = MOST_ANSWER_MS, clock = clockMs(dialect, waitMs);
         while (answer > LEAST_ANSWER_MS
-                && worstMs(dialect, endpoints, dialMs, answer, silenceMs, waitMs) > clock) {
+                && worstMs(dialect, endpoints, follow, dialMs, answer, silenceMs, waitMs) > clock) {
             answer -= LEAST_ANSWER_MS;
         }
         return answer;
@@ -69,19 +70,23 @@
 
     /** How long it may take, while one endpoint answers in time and all others take calls in silence. */
     public long worstMs() {
-        return worstMs(dialect, endpoints.size(), dialMs, answerMs, silenceMs, waitMs);
+        return worstMs(dialMs, silenceMs, waitMs);
+    }
+
+    private long worstMs(long dial, long silence, long wait) {
+        return worstMs(dialect, endpoints.size(), follow.size(), dial, answerMs, silence, wait);
     }
 
     /**
      * The silence until it is noticed; a try that is lost at each other endpoint; and the one that answers:
-     * for Consul the list, for etcd the check, what was missed, and a rebuild's first page.
+     * for Consul the list, for etcd the check, what was missed, and a rebuild's first page of each prefix.
      */
-    private static long worstMs(Dialect dialect, int endpoints, long dialMs, long answerMs, long silenceMs,
-            long waitMs) {
+    private static long worstMs(Dialect dialect, int endpoints, int follow, long dialMs, long answerMs,
+            long silenceMs, long waitMs) {
         long call = dialMs + answerMs;
         boolean consul = dialect.wholeAnswers();
         long noticed = consul ? waitMs + call : Math.max(silenceMs, call);
-        return noticed + endpoints * (call + REST_MS) + (consul ? 0 : 2 * answerMs) + MARGIN_MS;
+        return noticed + endpoints * (call + REST_MS) + (consul ? 0 : (1 + follow) * answerMs) + MARGIN_MS;
     }
 
     /** The key because of which the clock cannot be kept; null: it is kept. */
@@ -89,22 +94,21 @@
         if (!paceKeepsClock(1)) {
             return "requests_per_s";
         }
-        int n = endpoints.size();
         if (worstMs() <= clockMs()) {
             return null;
         }
-        if (worstMs(dialect, n, dialMs, answerMs, Math.min(silenceMs, SILENCE_MS), waitMs) <= clockMs()) {
+        if (worstMs(dialMs, Math.min(silenceMs, SILENCE_MS), waitMs) <= clockMs()) {
             return "silence_ms";
         }
-        if (worstMs(dialect, n, Math.min(dialMs, DIAL_MS), answerMs, silenceMs, waitMs) <= clockMs()) {
+        if (worstMs(Math.min(dialMs, DIAL_MS), silenceMs, waitMs) <= clockMs()) {
             return "dial_ms";
         }
         if (answerMs > LEAST_ANSWER_MS) {
             return "answer_ms";
         }
         long wait = Math.min(waitMs, SHORT_WAIT_MS);
-        return worstMs(dialect, n, dialMs, answerMs, silenceMs, wait) <= clockMs(dialect, wait) ? "wait_ms"
-            : "endpoints";
+        return worstMs(dialMs, silenceMs, wait) <= clockMs(dialect, wait) ? "wait_ms"
+            : !dialect.wholeAnswers() && follow.size() > endpoints.size() ? "follow" : "endpoints";
     }
 
     /** Whether a dispatcher's share of the requests comes as fast as answers may. */
