A watch that is silent before its first word is begun anew as well

Lines at fault: RouteSet.watched waited callMs for a first word and left the rest to the module's back-off.

ListClockTest fails without it: the second call never comes.

--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -156,22 +156,26 @@
             }
         }
 
-        /** One watch, and those that take its place where one falls silent; returns why there is none. */
+        /**
+         * One watch, and those that take its place where one falls silent, were it before its first word;
+         * returns why there is none. One that follows a silent one and says nothing is not followed at once.
+         */
         private String watched() {
-            long wait = pushed ? clock.renewMs() : clock.callMs();
-            for (int renewals = 0;; renewals++) {
+            boolean renewed = false;
+            while (true) {
+                long silence = clock.silence(random);
+                long first = renewed || pushed ? clock.renewMs() : silence;
                 spoke = false;
                 try {
-                    follow(wait);
+                    follow(first, silence);
                     return "the watch ended";
                 } catch (SocketTimeoutException e) {
-                    if (!spoke && renewals != 1) {
-                        return "no word within " + wait + " ms";
+                    if (!spoke && (renewed || pushed)) {
+                        return "no word within " + first + " ms";
                     }
-                    renewals = spoke ? 0 : renewals;
-                    wait = clock.renewMs();
-                    seldom.warn(address + (spoke ? ": the watch fell silent" : ": no word of the watch that "
-                        + "was to follow a silent one") + "; it is begun anew");
+                    renewed = true;
+                    heard = false;
+                    seldom.warn(address + ": the watch is silent; it is begun anew");
                 } catch (IOException e) {
                     return "the watch broke: " + e.getMessage();
                 } catch (RuntimeException | Error e) {           // without this thread drains would go unseen
@@ -207,7 +211,7 @@
          * Discovery sends a line every two seconds; a longer silence means that it or the way to it is gone
          * without a word, while drains go on unseen.
          */
-        private void follow(long firstMs) throws IOException {
+        private void follow(long firstMs, long silenceMs) throws IOException {
             try (HttpConnection link = HttpConnection.dial(address, Math.min(firstMs, DIAL_MS))) {
                 long since;
                 synchronized (RouteSet.this) {
@@ -222,13 +226,12 @@
                 ObjectLines objects = new ObjectLines();
                 HttpParser parser = HttpParser.response(Long.MAX_VALUE, new Lines(LONGEST_LINE,
                     text -> line(objects, text)));
-                long silence = clock.silence(random);
                 long firstBy = System.nanoTime() + firstMs * 1_000_000;
                 while (!parser.feed(link.buffer())) {
                     if (parser.headDone() && parser.head().status() != 200) {
                         throw new IOException("discovery answered " + parser.head().status());
                     }
-                    if (!link.fill(spoke ? silence : (firstBy - System.nanoTime()) / 1_000_000)) {
+                    if (!link.fill(spoke ? silenceMs : (firstBy - System.nanoTime()) / 1_000_000)) {
                         return;
                     }
                 }
