--- a/src/main/java/maplespread/agreement/Agreement.java
+++ b/src/main/java/maplespread/agreement/Agreement.java
@@ -737,4 +737,13 @@
         tries = 0;
         jobs.remove().done.accept(result);
     }
+
+    /** The vote and the try that is open, for logs. */
+    @Override public String toString() {
+        String out = open == null ? "none" : open.ballot + " promises " + open.promises.values() + " next "
+            + open.next + " accepted " + open.accepted + " refused " + open.refused;
+        return set.name() + ' ' + boot + (blind ? " blind " + answers + empty : "") + " promised " + promised
+            + " accepted " + accepted + " known " + known + " runs " + runs + " highest " + highest + " jobs "
+            + jobs.size() + " open " + out;
+    }
 }
--- a/src/test/java/maplespread/agreement/AgreementTest.java
+++ b/src/test/java/maplespread/agreement/AgreementTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import maplespread.lab.agreement.EveryOrder;
 import maplespread.lab.agreement.VirtualAgreement;
 import maplespread.lab.agreement.VirtualAgreement.Node;
 import org.junit.jupiter.api.Test;
@@ -233,6 +234,20 @@
         }
     }
 
+    /** Words in any order, old ones kept for long, with restarts and moves anywhere: the histories' worst. */
+    @Test
+    void inNoOrderOfWordsHasAVersionTwoValues() {
+        int decided = 0;
+        for (int seed = FIRST; seed < FIRST + 8 * HISTORIES; seed++) {
+            EveryOrder order = new EveryOrder(3 + seed % 3, 1 + seed % 4, 12, 8, seed % 6 > 2);
+            decided += order.walk(seed, 150);
+            assertEquals(null, order.fault(), "seed " + seed);
+        }
+        System.out.println(decided + " decided");
+        assertTrue(decided > 8 * HISTORIES, decided + " decided");
+        assertEquals(null, new EveryOrder(3, 1, 1, 2, false).search(Integer.getInteger("states", 200)));
+    }
+
     @Test
     void whatIsTooLongIsRefusedAndTheLongestFitsIntoAPacket() {
         VirtualAgreement g = group(3, 1);
@@ -252,7 +267,8 @@
             }
         }
         Word w = new Word(Word.Kind.ACCEPT, "dispatcher-1", 1, runs, Ballot.NONE, Ballot.NONE, false, false,
-            0, THREE, java.util.Map.of("n0", 4L), new Kept.Held(Ballot.NONE, new Kept(g.last(), THREE, done)));
+            0, THREE, java.util.Map.of("n0", 4L), new Kept.Held(Ballot.NONE, new Kept(g.last(), THREE,
+                done)));
         byte[] bytes = Words.bytes(w);
         assertTrue(bytes.length <= 60 * 1024, bytes.length + " bytes");
         assertEquals(w, Words.read(bytes));
--- /dev/null
+++ b/src/test/java/maplespread/agreement/RunsTest.java
@@ -0,0 +1,143 @@
+package maplespread.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import maplespread.agreement.Word.Kind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Votes of a run that is over arrive after the next run has read what the others know: word by word. */
+class RunsTest {
+    private record Packet(String to, Word word) { }
+
+    private static final List<String> ELECTORS = List.of("a", "b", "c");
+    private static final List<String> ALL = List.of("a", "b", "c", "p", "q");
+    private final Map<String, Agreement> nodes = new TreeMap<>();
+    private final List<Packet> packets = new ArrayList<>();
+    private final List<String> decided = new ArrayList<>();
+    private long now, boots = 1000;
+
+    private void start(String name) {
+        AgreementSettings set = new AgreementSettings(name, ELECTORS, 100_000, 100_000);
+        nodes.put(name, new Agreement(set, ++boots, 1, now, new AgreementSink() {
+            @Override public void send(String to, Word word) {
+                packets.add(new Packet(to, word));
+            }
+
+            @Override public void learned(Value value) { }
+
+            @Override public void event(boolean warning, String event, Object... pairs) { }
+        }));
+        nodes.get(name).members(ALL);
+        nodes.get(name).tick(now);
+    }
+
+    /** Has these arrive, and what comes of them where it fits too. */
+    private void deliver(Predicate<Packet> which) {
+        for (int i = 0; i < packets.size();) {
+            if (which.test(packets.get(i))) {
+                Packet p = packets.remove(i);
+                nodes.get(p.to()).received(now, p.word());
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+    }
+
+    private void deliver(Kind kind, String from, String to) {
+        deliver(p -> p.word().kind() == kind && p.word().from().equals(from) && p.to().equals(to));
+    }
+
+    private long under(Kind kind) {
+        return packets.stream().filter(p -> p.word().kind() == kind).count();
+    }
+
+    private void append(String by) {
+        nodes.get(by).change(now, v -> v.text() + by, now + 1_000_000, r -> decided.add(by));
+    }
+
+    private void restart(String name) {
+        start(name);
+        deliver(p -> p.word().kind() == Kind.ASK || p.word().kind() == Kind.STATE);
+        assertTrue(!nodes.get(name).blind());
+    }
+
+    @BeforeEach
+    void allSeeAndKnowAValue() {
+        ALL.forEach(this::start);
+        deliver(p -> true);
+        now = 100_000;
+        ALL.forEach(n -> nodes.get(n).tick(now));
+        deliver(p -> true);
+        ALL.forEach(n -> nodes.get(n).tick(now));
+        append("a");
+        deliver(p -> true);
+        assertEquals(List.of("a"), decided);
+    }
+
+    @Test
+    void anAcceptanceOfARunThatIsOverDecidesNothing() {
+        append("p");
+        deliver(p -> p.word().kind() == Kind.PREPARE || p.word().kind() == Kind.PROMISE);
+        deliver(Kind.ACCEPT, "p", "c");
+        restart("c");
+        deliver(Kind.ACCEPT, "p", "a");
+        deliver(p -> p.word().kind() == Kind.ACCEPTED);
+        assertEquals(List.of("a"), decided, "c has forgotten it");
+        deliver(Kind.ACCEPT, "p", "b");
+        deliver(p -> p.word().kind() == Kind.ACCEPTED);
+        assertEquals(List.of("a", "p"), decided, "a and b have not");
+    }
+
+    @Test
+    void aPromiseOfARunThatIsOverBearsNothing() {
+        append("p");
+        deliver(Kind.PREPARE, "p", "c");
+        restart("c");
+        deliver(Kind.PREPARE, "p", "a");
+        deliver(p -> p.word().kind() == Kind.PROMISE);
+        assertEquals(0, under(Kind.ACCEPT), "c has forgotten its promise");
+        deliver(Kind.PREPARE, "p", "b");
+        deliver(p -> p.word().kind() == Kind.PROMISE);
+        assertEquals(3, under(Kind.ACCEPT));
+    }
+
+    @Test
+    void aTryThatRestsOnARunThatIsOverIsRefused() {
+        append("p");
+        deliver(Kind.PREPARE, "p", "a");
+        deliver(Kind.PREPARE, "p", "c");
+        deliver(p -> p.word().kind() == Kind.PROMISE);
+        restart("c");
+        deliver(Kind.ACCEPT, "p", "a");
+        deliver(Kind.ACCEPT, "p", "c");
+        assertEquals(2, under(Kind.REFUSE));
+    }
+
+    /** What a majority has promised, and what it has taken, a run that begins has read. */
+    @Test
+    void promisesAndValuesOutliveARun() {
+        append("p");
+        append("q");                                             // the same round: q is above p
+        deliver(Kind.PREPARE, "q", "a");
+        deliver(Kind.PREPARE, "q", "c");
+        deliver(p -> p.word().kind() == Kind.PROMISE);
+        restart("c");
+        deliver(Kind.PREPARE, "p", "c");
+        assertEquals(1, under(Kind.REFUSE), "it promised q");
+        assertEquals(0, under(Kind.PROMISE));
+    }
+
+    @Test
+    void aLaterLifeIsLaterWhateverItsVersion() {
+        Value old = new Value(1, 9, "", 0, ELECTORS), next = new Value(2, 1, "", 1, ELECTORS);
+        assertTrue(next.after(old) && !old.after(next) && !old.after(old));
+    }
+}
