--- a/src/test/java/maplespread/net/ReleaseStoryTest.java
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.ByteArrayOutputStream;
@@ -202,7 +203,8 @@
         assertTrue(!out(1));
         Said forced = post(1, "/admin/quiesce?force=fire");
         assertTrue(forced.status() == 200 && out(1), forced.toString());
-        until("it counts as out", () -> shown(2, "/admin/release").getAsJsonArray("out").size() == 2);
+        until("it counts as out, by that word", () -> shown(2, "/admin/release").getAsJsonObject("agreed")
+            .getAsJsonObject("accidents").toString().contains("forced: fire"));
         assertEquals(200, post(0, "/admin/resume").status());
         assertEquals(200, post(1, "/admin/resume").status());
         until("nobody is out", () -> everywhere("agreed", "leaves", 0)
@@ -238,6 +240,18 @@
         });
         assertEquals(400, post(2, "/admin/group/found").status(), "without a why");
         assertEquals(409, post(2, "/admin/group/found?why=test").status(), "a majority knows the value");
+
+        keys = keys.substring(0, keys.indexOf(','));             // a new process has no other
+        servers[0].reload();
+        servers[1].reload();
+        servers[2].stop();
+        servers[2] = server(2);
+        until("it is heard under the new key", () -> {
+            String run = shown(2, "/admin/group").get("run").toString();
+            return shown(0, "/admin/group").getAsJsonArray("members").asList().stream()
+                .map(JsonElement::getAsJsonObject).anyMatch(m -> m.get("run").toString().equals(run)
+                    && m.has("phase") && m.get("phase").getAsString().equals("SERVING"));
+        });
     }
 
     /** With no majority nothing can be agreed: no drain by call, but service and the other calls go on. */
