--- a/src/main/java/maplespread/faults/FleetError.java
+++ b/src/main/java/maplespread/faults/FleetError.java
@@ -2,7 +2,7 @@
 
 /**
  * What the parts of the fleet can refuse or fail with, told so that an operator can act on it; the message
- * has all three words. docs/operators/errors.md lists all of its kinds, and a test holds that list to the code.
+ * has all three words. docs/operators/errors.md lists all of its kinds; a test holds it to the code.
  */
 public abstract class FleetError extends Exception {
     private static final long serialVersionUID = 1;
--- a/src/main/java/maplespread/registry/client/RegistryAdmin.java
+++ b/src/main/java/maplespread/registry/client/RegistryAdmin.java
@@ -145,8 +145,8 @@
 
     /**
      * Has this run of the worker (its start, 1: long ago) drain by a leave; false where it is not there, or
-     * the leave was taken back. The mark that {@link #recall} leaves at the worker is read and heeded in one swap
-     * with the drain.
+     * the leave was taken back. The mark that {@link #recall} leaves at the worker is read and heeded in one
+     * swap with the drain.
      */
     public boolean drain(String worker, long run, long leave) throws NotDone {
         return change(worker, value -> {
--- a/src/main/java/maplespread/routes/ListClock.java
+++ b/src/main/java/maplespread/routes/ListClock.java
@@ -4,11 +4,12 @@
 
 /**
  * How long a watch may be silent before it is a broken one. The platform counts what a silent watch missed as
- * told {@code TOLD_MS} after the silence began, whether or not it arrived, so until then there is time to find
- * the silence and for the call that follows it. Milliseconds.
+ * told {@code TOLD_MS} after the silence began, whether or not it arrived, so until then there is time to
+ * find the silence and for the call that follows it. Milliseconds.
  *
  * @param silenceMs without a word, at the least, from the call on; {@code spreadMs}: drawn on top, anew for
- *     each watch, as all dispatchers may fall silent in one instant and discovery answers one call after another
+ *     each watch, as all dispatchers may fall silent in one instant and discovery answers one call after
+ *     another
  * @param renewMs for the first word of the watch that takes a silent one's place
  */
 public record ListClock(long silenceMs, long spreadMs, long renewMs) {
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -14,9 +14,9 @@
 import org.tinylog.Logger;
 
 /**
- * Follows discovery's list, each address of discovery on a thread of its own. Where the list is asked for, when
- * to subscribe is the module's word; each watch that ends is reported, and the module asks again after its
- * jittered back-off. One that falls silent is begun anew at once, by {@link ListClock}. Where the list is
+ * Follows discovery's list, each address of discovery on a thread of its own. Where the list is asked for,
+ * when to subscribe is the module's word; each watch that ends is reported, and the module asks again after
+ * its jittered back-off. One that falls silent is begun anew at once, by {@link ListClock}. Where the list is
  * pushed, what the agent holds counts whether or not it was asked: it is asked from the start on, and again
  * and again while it is out. A new address is watched at once: until it has spoken, the last list holds and
  * the old watch is still obeyed.
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -84,7 +84,8 @@
         for (String p : List.of("log", "registry", "registry/wire", "registry/client", "routes", "cli", "lab",
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
-                "upgrade", "subset", "fair", "faults", "parts", "group", "release", "release/client", "lab/fleet",
+                "upgrade", "subset", "fair", "faults", "parts", "group", "release", "release/client",
+                "lab/fleet",
                 "agreement", "agreement/client", "lab/agreement", "partition", "lab/partition", "lab/release",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
--- a/src/test/java/maplespread/net/ListClockTest.java
+++ b/src/test/java/maplespread/net/ListClockTest.java
@@ -98,7 +98,7 @@
         }
     }
 
-    /** Before its first word a process whose list is pushed is not ready: it would use what is known drained. */
+    /** Guards against a start that uses what its agent knows to be drained. */
     @Test void aStartWaitsForWhatTheAgentHolds() throws Exception {
         try (Peer worker = new Peer(MUTE);
              Loopback here = new Loopback(Loopback.Site.OUTLET, call -> {
--- a/src/test/java/maplespread/registry/client/RegistryAdminTest.java
+++ b/src/test/java/maplespread/registry/client/RegistryAdminTest.java
@@ -22,8 +22,8 @@
                 + "\"lifecycle\":\"SERVING\",\"startedAtMs\":5}").getAsJsonObject(), "", 0);
             long[][] calls = {{0, 5, 3}, {1, 5, 3}, {0, 5, 3}, {0, 6, 4}, {1, 6, 4}, {0, 5, 4}, {1, 5, 2},
                 {0, 5, 3}, {0, 5, 4}};                           // 1: recall; run; leave
-            String done = "DRAINING true,SERVING true,SERVING false,SERVING false,SERVING false,DRAINING true,"
-                + "SERVING true,SERVING false,DRAINING true,";
+            String done = "DRAINING true,SERVING true,SERVING false,SERVING false,SERVING false,"
+                + "DRAINING true,SERVING true,SERVING false,DRAINING true,";
             StringBuilder was = new StringBuilder();
             for (long[] c : calls) {
                 boolean yes = c[0] == 1 ? admin.recall("w-1", c[1], c[2]) : admin.drain("w-1", c[1], c[2]);
