The stories wait for what is counted, and try more calls than wait at once

A count is added after the answer's last byte: on a loaded machine the story read it before (once, at a load of 48). A call's place that is not given back was seen by no test; five bad calls in a row see it.

--- a/src/test/java/maplespread/net/OperationStoriesTest.java
+++ b/src/test/java/maplespread/net/OperationStoriesTest.java
@@ -345,7 +345,7 @@
             worker.script = DONE;
             assertEquals(404, client.status(job("page", "b", 4000)));
             assertEquals(200, client.status(job("sheet", "c", 4000)));
-            assertEquals(1, here.figure("app_calls{tier=\"sheet\",code=\"success\"}"));
+            until("counted", () -> here.figure("app_calls{tier=\"sheet\",code=\"success\"}") == 1);
             assertEquals(0, here.figure("app_calls{tier=\"page\",code=\"success\"}"), "its count stays");
         }
     }
--- a/src/test/java/maplespread/net/ReleaseStoryTest.java
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -167,7 +167,9 @@
         assertTrue(second != first);
 
         int third = N - first - second;
-        assertEquals(400, post(third, "/admin/release/halt").status(), "without a why");
+        for (int i = 0; i < 5; i++) {                            // more than wait at once
+            assertEquals(400, post(third, "/admin/release/halt").status(), "without a why");
+        }
         assertEquals(200, post(third, "/admin/release/halt?why=looks+bad").status());
         Server old = servers[second];
         servers[second] = server(second);                        // an upgrade in place: the address is held
