Starvation told by comparing waits: windows, view, comparison, verdicts, in virtual time

Refusals hide a starved tenant's waits, and nothing told it from one that asks too much, has long jobs or sits in a crowded place.

--- /dev/null
+++ b/src/main/java/maplespread/lab/starvation/VirtualStarvation.java
@@ -0,0 +1,274 @@
+package maplespread.lab.starvation;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import maplespread.starvation.Judge;
+import maplespread.starvation.Site;
+import maplespread.starvation.Verdict;
+import maplespread.starvation.Verdict.Kind;
+import maplespread.starvation.View;
+import maplespread.starvation.Waits;
+import maplespread.starvation.Waits.End;
+import maplespread.starvation.Window;
+
+/**
+ * A fleet and what its tenants meet. Load wanders by place, tenants send bursts whose jobs share one queue,
+ * sizes are lognormal, some places are a little slower for good: all of it fair. What is not fair begins
+ * after {@link #CALM} seconds.
+ */
+public final class VirtualStarvation {
+    /** What is wrong. */
+    public enum Case {
+        FAIR(Kind.FINE), ORDER(Kind.STARVED), HOT_KEY(Kind.STARVED), SUBSET(Kind.STARVED),
+        COLD_ZONE(Kind.STARVED), UNFAIR(Kind.STARVED), CROWD(Kind.CROWDED), GREEDY(Kind.BEYOND_SHARE),
+        LONG(Kind.LONG_JOBS), SILENT(Kind.NOT_KNOWN);
+
+        /** What is to be told of whom it concerns. */
+        public final Kind truth;
+
+        Case(Kind truth) {
+            this.truth = truth;
+        }
+    }
+
+    /** How large the fleet is, and what it does. */
+    public static final class Plan {
+        public Case wrong = Case.FAIR;
+        public int tenants = 100, zones = 8, kinds = 8, dispatchers = 200;
+        public double jobsPerS = 20_000;
+        public int seconds = CALM + 14;
+        public long seed = 1;
+        public double matters = 0.1;
+        public int alone = 4;                                    // dispatchers that judge by themselves, too
+    }
+
+    /**
+     * {@code namedAfterS}: until the right verdict stood of whom it concerns, infinite if never; {@code
+     * told}: what stood of those at the end, by verdict; {@code falsely}: verdicts of anybody that were
+     * wrong, the judges that look alone times the dispatchers they stand for.
+     */
+    public record Result(double namedAfterS, Map<Kind, Integer> told, double falsely, long jobs, long bytes,
+                         long windows, long viewBytes, double recordNs, double judgeMs, double spread) { }
+
+    public static final int CALM = 12;
+    private static final double DEADLINE_MS = 2000;
+    private static final int WINDOW_MS = 1000;
+    private static final int KEEP_MS = 10_000;
+    private static final double HEADROOM = 1.3;                  // allowance over mean rate
+    private final Plan plan;
+    private final SplittableRandom random;
+    private final int places;
+    private final double[] weights, cumulated, queue, slow;
+    private final int tenant, place, dispatcher;                 // whom it concerns
+    private long id;
+    private Site site;
+
+    public VirtualStarvation(Plan plan) {
+        this.plan = plan;
+        random = new SplittableRandom(plan.seed);
+        places = plan.zones * plan.kinds;
+        weights = new double[plan.tenants];
+        Arrays.setAll(weights, t -> Math.exp(0.4 * gauss()));
+        double sum = Arrays.stream(weights).sum();
+        Arrays.setAll(weights, t -> weights[t] / sum);
+        cumulated = weights.clone();
+        Arrays.parallelPrefix(cumulated, Double::sum);
+        queue = new double[places];
+        slow = new double[places];
+        Arrays.setAll(slow, p -> 1 + 0.2 * random.nextDouble());
+        Arrays.setAll(queue, p -> gauss());
+        int drawn = random.nextInt(plan.tenants);
+        while (weights[drawn] < 1.0 / plan.tenants) {            // whom it concerns is of mean size at least
+            drawn = random.nextInt(plan.tenants);
+        }
+        tenant = drawn;
+        place = random.nextInt(places);
+        dispatcher = 0;
+    }
+
+    /** What this thread has had of a processor: others may run beside it. */
+    private static long cpuNs() {
+        return java.lang.management.ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
+    private double gauss() {
+        double turn = 2 * Math.PI * random.nextDouble();
+        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(turn);
+    }
+
+    public Result run() {
+        double[] allowances = Arrays.stream(weights).map(w -> w * plan.jobsPerS * HEADROOM).toArray();
+        site = new Site(new double[] {DEADLINE_MS}, allowances, plan.dispatchers, plan.kinds);
+        Waits[] waits = new Waits[plan.dispatchers];
+        Arrays.setAll(waits, d -> new Waits("d" + d, 1, WINDOW_MS, new double[] {DEADLINE_MS}));
+        View view = new View(KEEP_MS, true);
+        Judge judge = new Judge(site, plan.matters);
+        View[] aloneViews = new View[plan.alone];
+        Judge[] alone = new Judge[plan.alone];
+        Arrays.setAll(aloneViews, d -> new View(KEEP_MS, false));
+        Arrays.setAll(alone, d -> Judge.alone(site, plan.matters, judge));
+        double named = Double.POSITIVE_INFINITY;
+        double falsely = 0;
+        long bytes = 0;
+        long windows = 0;
+        long recordNs = 0;
+        long judgeNs = 0;
+        for (int s = 0; s < plan.seconds; s++) {
+            boolean wrong = plan.wrong != Case.FAIR && s >= CALM;
+            long t0 = cpuNs();
+            second(s * 1000L, wrong, waits);
+            long now = (s + 1) * 1000L;
+            recordNs += cpuNs() - t0;
+            view.age(now);
+            for (int d = 0; d < plan.dispatchers; d++) {
+                Window w = waits[d].close(now);
+                if (d < plan.alone) {
+                    aloneViews[d].age(now);
+                    aloneViews[d].add(now, w);
+                }
+                if (plan.wrong != Case.SILENT || s < CALM || d < plan.dispatchers * 3 / 10) {
+                    byte[] packet = maplespread.starvation.Exchange.encode(w, Integer.MAX_VALUE);
+                    bytes += packet.length;
+                    windows++;
+                    view.add(now, w);
+                }
+            }
+            long t1 = cpuNs();
+            falsely += wrong(judge.round(now, view), wrong, -1);
+            judgeNs += cpuNs() - t1;
+            for (int d = 0; d < plan.alone; d++) {
+                falsely += wrong(alone[d].round(now, aloneViews[d]), wrong, d) * plan.dispatchers
+                    / plan.alone;
+            }
+            if (wrong && named == Double.POSITIVE_INFINITY && count(judge, alone[dispatcher])
+                    .getOrDefault(plan.wrong.truth, 0) > 0) {
+                named = s + 1 - CALM;
+            }
+        }
+        return new Result(named, count(judge, alone[dispatcher]), falsely, id, bytes, windows, view.bytes(),
+            (double) recordNs / id, judgeNs / 1e6 / plan.seconds, judge.spread());
+    }
+
+    /** What stands of whom it concerns. */
+    private Map<Kind, Integer> count(Judge judge, Judge alone) {
+        Map<Kind, Integer> told = new EnumMap<>(Kind.class);
+        for (int p = 0; p < places; p++) {
+            if (concerns(tenant, p)) {
+                Kind kind = plan.wrong == Case.UNFAIR ? unfair(alone) : judge.of(tenant, 0, p);
+                told.merge(kind, 1, Integer::sum);
+            }
+        }
+        return told;
+    }
+
+    private Kind unfair(Judge alone) {
+        return alone.standing().stream().filter(v -> v.tenant() == tenant).map(Verdict::kind).findFirst()
+            .orElse(Kind.FINE);
+    }
+
+    /** Whether the tenant's jobs in the place are those that the case is about. */
+    private boolean concerns(int t, int p) {
+        return switch (plan.wrong) {
+            case FAIR, SILENT, CROWD, ORDER, HOT_KEY -> t == tenant && p == place;
+            case SUBSET -> t == tenant && p % plan.kinds == place % plan.kinds;
+            case COLD_ZONE -> t == tenant && p / plan.kinds == place / plan.kinds;
+            case UNFAIR -> t == tenant && p == 0;
+            case GREEDY, LONG -> t == tenant;
+        };
+    }
+
+    /** Whether most of what the part has in it is what the case is about: half of its places. */
+    private boolean concerns(int part) {
+        int has = 0;
+        int all = 0;
+        for (int p = 0; p < places; p++) {
+            all += site.has(part, p) ? 1 : 0;
+            has += site.has(part, p) && concerns(tenant, p) ? 1 : 0;
+        }
+        return 2 * has >= all;
+    }
+
+    /** How many of these say what is not so; {@code by}: the dispatcher that judges alone, or -1. */
+    private int wrong(List<Verdict> verdicts, boolean begun, int by) {
+        int n = 0;
+        for (Verdict v : verdicts) {
+            boolean ok = v.kind() == Kind.FINE || v.kind() == Kind.NOT_KNOWN;
+            if (begun && !ok) {
+                boolean about = v.tenant() == tenant || plan.wrong == Case.CROWD && v.tenant() == Verdict.ALL;
+                boolean there = by >= 0 ? plan.wrong != Case.UNFAIR || by == dispatcher
+                    : plan.wrong == Case.UNFAIR || concerns(v.place());  // who looks alone sees no place
+                ok = about && there && v.kind() == plan.wrong.truth;
+            }
+
+            n += ok ? 0 : 1;
+        }
+        return n;
+    }
+
+    // ------------------------------------------------------------ what the tenants meet
+
+    private void second(long fromMs, boolean wrong, Waits[] waits) {
+        double wave = 1 + 0.2 * Math.sin(fromMs / 1000.0 * 2 * Math.PI / 3600);
+        for (int p = 0; p < places; p++) {                       // wanders within some seconds
+            queue[p] = 0.85 * queue[p] + Math.sqrt(1 - 0.85 * 0.85) * gauss();
+        }
+        double jobs = plan.jobsPerS * wave;
+        boolean greedy = wrong && plan.wrong == Case.GREEDY;
+        double most = jobs + (greedy ? jobs * weights[tenant] * 3 : 0);
+        for (double n = 0; n < most;) {
+            int t = n >= jobs ? tenant : Math.min(plan.tenants - 1,
+                Math.abs(Arrays.binarySearch(cumulated, random.nextDouble()) + 1));
+            int d = random.nextInt(plan.dispatchers + 1) % plan.dispatchers; // the first has two parts
+            int p = random.nextInt(places);
+            int burst = 1 + (random.nextInt(4) == 0 ? random.nextInt(4) : 0);
+            double shared = -Math.log(1 - random.nextDouble());
+            for (int i = 0; i < burst; i++, n++) {
+                job(fromMs, wrong, waits[d], t, d, p, shared);
+            }
+        }
+    }
+
+    private void job(long fromMs, boolean wrong, Waits waits, int t, int d, int p, double shared) {
+        double mine = -Math.log(1 - random.nextDouble());
+        double work = Math.min(1500, 60 * Math.exp(0.8 * gauss()));
+        Case now = wrong && concerns(t, p) ? plan.wrong : Case.FAIR;
+        if (now == Case.LONG) {
+            work *= 8;
+        }
+        double load = Math.exp(0.5 * Math.max(-2, Math.min(2, queue[p])));
+        double wait = slow[p] * load * 15 * (shared + mine) + work * (slow[p] - 1);
+        double refused = 0.002 * load;
+        if (wrong && plan.wrong == Case.CROWD && p == place) {
+            wait += 0.3 * DEADLINE_MS * (0.5 + random.nextDouble());
+            refused = 0.05;
+        }
+        switch (now) {
+            case ORDER, COLD_ZONE -> wait += 0.35 * DEADLINE_MS * (0.5 + random.nextDouble());
+            case HOT_KEY -> {
+                wait += random.nextInt(2) == 0 ? 0.5 * DEADLINE_MS * (0.5 + random.nextDouble()) : 0;
+                refused = 0.2;
+            }
+            case SUBSET -> refused = d % 4 == dispatcher ? 0.95 : refused;
+            case GREEDY -> refused = 0.6;
+            default -> { }
+        }
+        if (wrong && plan.wrong == Case.UNFAIR && t == tenant && d == dispatcher) {
+            refused = 0.9;
+        }
+        long at = fromMs + random.nextInt(1000);
+        waits.taken(at, ++id, t, 0, p, work);
+        double r = random.nextDouble();
+        if (r < refused) {
+            waits.ended(at + 2, id, p, End.REFUSED);
+        } else if (r < refused + 0.003) {
+            waits.ended(at + random.nextInt(300), id, p, End.LEFT);
+        } else if (work + wait >= DEADLINE_MS) {
+            waits.ended(at + (long) DEADLINE_MS, id, p, End.FAILED);
+        } else {
+            waits.ended(at + (long) (work + wait), id, p, End.SERVED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplespread/starvation/Waits.java
@@ -0,0 +1,112 @@
+package maplespread.starvation;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * One process's waits, from taken to the last byte sent, by tenant, class, place and band of work, window by
+ * window.
+ *
+ * <p>A job that was refused or failed has not been served by its deadline: it waited at least that long, not
+ * the two milliseconds until its refusal, or who is always refused at once would look well. A client that
+ * left waited at least until then. A job that is still in work has waited at least so long.
+ *
+ * <p>Guards against growth: beyond so many cells and open jobs, jobs are counted and no more.
+ */
+public final class Waits {
+    /** How a job ended. */
+    public enum End { SERVED, REFUSED, FAILED, LEFT }
+
+    /** A job that was taken. {@code workMs}: NaN where nobody said. */
+    private record Open(int tenant, int cls, int place, double workMs, long takenMs) { }
+
+    private static final int MOST_CELLS = 4096;
+    private static final int MOST_OPEN = 8192;
+    private final String process;
+    private final long run;
+    private final int lengthMs;
+    private final double[] deadlinesMs;
+    private Map<Long, Sample> cells = new HashMap<>();
+    private final Map<Long, Open> open = new HashMap<>();
+    private long number;
+    private int left;
+
+    /** {@code deadlinesMs}: by class; {@code lengthMs}: of a window. */
+    public Waits(String process, long run, int lengthMs, double[] deadlinesMs) {
+        this.process = process;
+        this.run = run;
+        this.lengthMs = lengthMs;
+        this.deadlinesMs = deadlinesMs.clone();
+    }
+
+    /** A job was taken; {@code place}: where it would be, as far as is known. */
+    public void taken(long nowMs, long id, int tenant, int cls, int place, double workMs) {
+        if (open.size() < MOST_OPEN) {
+            open.put(id, new Open(tenant, cls, place, workMs, nowMs));
+        }
+    }
+
+    /** It ended: its last byte was sent, or nobody waits for it. */
+    public void ended(long nowMs, long id, int place, End end) {
+        Open job = open.remove(id);
+        if (job == null) {
+            left++;
+            return;
+        }
+        double waitMs = nowMs - job.takenMs;
+        boolean held = end != End.SERVED;
+        if (end == End.REFUSED || end == End.FAILED) {
+            waitMs = Math.max(waitMs, deadlinesMs[job.cls]);
+        }
+        long cell = cell(job, place);
+        Sample s = cells.get(cell);
+        if (s == null) {
+            if (cells.size() >= MOST_CELLS) {
+                left++;
+                return;
+            }
+            s = new Sample();
+            cells.put(cell, s);
+        }
+        s.add(held, bin(job, waitMs), 1);
+    }
+
+    private static long cell(Open job, int place) {
+        return Code.cell(job.tenant, job.cls, place, Code.bandOf(job.workMs));
+    }
+
+    private static int bin(Open job, double waitMs) {
+        return Code.binOf(waitMs - (Double.isNaN(job.workMs) ? 0 : job.workMs));
+    }
+
+    /** Ends the window and begins the next one. */
+    public Window close(long nowMs) {
+        TreeMap<Long, Integer> ended = new TreeMap<>();
+        cells.forEach((cell, s) -> {
+            for (int i = 0; i < s.size(); i++) {
+                ended.put(Code.of(cell, s.held(i), s.bin(i)), s.count(i));
+            }
+        });
+        TreeMap<Long, Integer> waiting = new TreeMap<>();
+        for (Open job : open.values()) {
+            if (nowMs - job.takenMs > lengthMs) {
+                waiting.merge(Code.of(cell(job, job.place), true, bin(job, nowMs - job.takenMs)), 1,
+                    Integer::sum);
+            }
+        }
+        Window w = new Window(process, run, number++, lengthMs, left, codes(ended), counts(ended),
+            codes(waiting), counts(waiting));
+        cells = new HashMap<>();
+        left = 0;
+        return w;
+    }
+
+    private static long[] codes(TreeMap<Long, Integer> all) {
+        return all.keySet().stream().mapToLong(Long::longValue).toArray();
+    }
+
+    private static int[] counts(TreeMap<Long, Integer> all) {
+        return all.values().stream().mapToInt(Integer::intValue).toArray();
+    }
+}
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -47,7 +47,8 @@
     void whatDecidesDoesNoInputOrOutput() {
         String[] pure = {"maplespread.decision", "maplespread.registry", "maplespread.registry.wire",
             "maplespread.membership", "maplespread.address", "maplespread.announce", "maplespread.subset",
-            "maplespread.fair", "maplespread.agreement", "maplespread.faults"};
+            "maplespread.fair", "maplespread.agreement", "maplespread.faults",
+            "maplespread.starvation"};
         noClasses().that().resideInAnyPackage(pure).should().dependOnClassesThat()
             .resideInAnyPackage("java.nio.file..", "java.nio.channels..",
                 "java.util.concurrent..", "java.time..", "org.tinylog..", "maplespread.http..",
@@ -84,7 +85,7 @@
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
                 "upgrade", "subset", "fair", "faults", "parts", "group", "release/client", "lab/fleet",
-                "agreement", "agreement/client", "lab/agreement",
+                "agreement", "agreement/client", "lab/agreement", "starvation", "lab/starvation",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
--- a/src/test/java/maplespread/PlainStartTest.java
+++ b/src/test/java/maplespread/PlainStartTest.java
@@ -30,8 +30,8 @@
         assertEquals(0, process.exitValue(), Files.readString(dir.resolve("log")));
         List<String> all = Files.readAllLines(loaded);
         assertTrue(all.stream().anyMatch(l -> l.contains(" maplespread.parts.Parts ")), "it is written down");
-        List<String> off = all.stream().filter(l -> l.matches(".* (picocli|org[.]HdrHistogram|maplespread[.]("
-            + "agreement|group|release|membership|faults|subset|fair|registry|console|upgrade|cli|lab"
+        List<String> off = all.stream().filter(l -> l.matches(".* (picocli|org[.]HdrHistogram|org[.]apache|maplespread[.]("
+            + "agreement|starvation|group|release|membership|faults|subset|fair|registry|console|upgrade|cli|lab"
             + "|parts[.]\\w+Part\\b|config[.]GroupSettings))\\b.*")).toList();
         assertEquals(List.of(), off);
     }
--- /dev/null
+++ b/src/test/java/maplespread/starvation/JudgeTest.java
@@ -0,0 +1,135 @@
+package maplespread.starvation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import maplespread.lab.starvation.VirtualStarvation;
+import maplespread.lab.starvation.VirtualStarvation.Case;
+import maplespread.lab.starvation.VirtualStarvation.Plan;
+import maplespread.lab.starvation.VirtualStarvation.Result;
+import maplespread.starvation.Comparison.Sum;
+import maplespread.starvation.Comparison.Table;
+import maplespread.starvation.Verdict.Kind;
+import org.junit.jupiter.api.Test;
+
+/** The comparison by itself, and the verdicts on small fleets in virtual time; all with seeds. */
+class JudgeTest {
+    private static Sample sample(int... waits) {                 // below 0: at least so long
+        Sample s = new Sample();
+        for (int w : waits) {
+            s.add(w < 0, Code.binOf(Math.abs(w)), 1);
+        }
+        return s;
+    }
+
+    private static Sum compare(Sample own, Sample others, double kept) {
+        Sample all = new Sample();
+        all.add(own, 1);
+        all.add(others, 1);
+        Sum sum = new Sum();
+        Comparison.add(sum, new Table(all, 100), own, kept);
+        return sum;
+    }
+
+    /** By hand: served at 1, 2, 4 with 5, 4, 2 at risk; the third left at 3, the last was held to the end. */
+    @Test void aComparisonByHand() {
+        Sum s = compare(sample(2, -3), sample(1, 4, -100), 1);
+        assertEquals(1, s.observed);
+        assertEquals(2 * (1 / 5.0 + 1 / 4.0), s.expected, 1e-12);
+        assertEquals((2 + 98 / 2.0) * 2, s.own, 1e-9, "half goes on from 2 to the end");
+        assertEquals(1, s.held);
+        assertEquals(1, s.othersHeld);
+    }
+
+    /** Rows: own waits, others', what is kept; whether it waits longer. */
+    @Test void whatIsHeldTells() {
+        Sample others = new Sample();
+        for (int i = 0; i < 200; i++) {
+            others.add(false, Code.binOf(1 + i % 20), 1);
+        }
+        Object[][] rows = {
+            {new int[] {5, 5, 6, -100, -100, -100, -100, -100}, 1.0, true},
+            {new int[] {5, 5, 6, -100, -100, -100, -100, -100}, 0.375, false},
+            {new int[] {5, 5, 6, 10, 15, 19, 2, 3}, 1.0, false},
+            {new int[] {-2, -2, -1, -3, -2, -1, -2, -3}, 1.0, false},    // left early: tells little
+            {new int[] {60, 70, 80, 90, 99, 80, 70, 60}, 1.0, true}};
+        for (Object[] r : rows) {
+            Sum s = compare(sample((int[]) r[0]), others, (double) r[1]);
+            assertEquals(r[2], s.chance(1) < 1e-3 && s.effect() > 0.1,
+                java.util.Arrays.toString((int[]) r[0]) + " " + s.chance(1) + " " + s.effect());
+        }
+    }
+
+    /** Groups that are as the others come out below a chance no more often than that chance. */
+    @Test void chanceIsNotUnderstated() {
+        SplittableRandom random = new SplittableRandom(3);
+        int below = 0;
+        int rounds = 20_000;
+        for (int i = 0; i < rounds; i++) {
+            Sample own = new Sample();
+            Sample others = new Sample();
+            for (int j = 0; j < 108; j++) {
+                boolean held = random.nextInt(20) == 0;
+                double wait = held ? 2000 : -100 * Math.log(1 - random.nextDouble());
+                (j < 8 ? own : others).add(held, Code.binOf(wait), 1);
+            }
+            below += compare(own, others, 1).chance(1) < 0.001 ? 1 : 0;
+        }
+        assertTrue(below <= rounds * 0.001 * 1.6, below + " of " + rounds);
+    }
+
+    private static Plan plan(Case wrong, long seed) {
+        Plan p = new Plan();
+        p.wrong = wrong;
+        p.seed = seed;
+        p.tenants = 20;
+        p.zones = 3;
+        p.kinds = 3;
+        p.dispatchers = 6;
+        p.jobsPerS = 1500;
+        p.alone = wrong == Case.UNFAIR ? 6 : 1;
+        return p;
+    }
+
+    @Test void eachCaseIsToldForWhatItIs() {
+        for (Case wrong : Case.values()) {
+            IntStream.rangeClosed(1, 3).forEach(seed -> {
+                Result r = new VirtualStarvation(plan(wrong, seed)).run();
+                String what = wrong + " " + seed + ": " + r;
+                assertEquals(0, r.falsely(), what);
+                assertTrue(wrong == Case.FAIR || r.namedAfterS() <= 12, what);
+                assertTrue(r.told().containsKey(wrong.truth), what);
+            });
+        }
+    }
+
+    /** A verdict comes and goes by the same few rounds wherever its figures stand between the two limits. */
+    @Test void entryAndExitDiffer() {
+        Site site = new Site(new double[] {2000}, new double[30], 1, 1);
+        Judge judge = new Judge(site, 0.1);
+        double[] slower = {0, 400, 160, 160, 160, 0};            // by phases of five rounds
+        Kind[] stands = {Kind.FINE, Kind.STARVED, Kind.STARVED, Kind.STARVED, Kind.STARVED, Kind.FINE};
+        SplittableRandom random = new SplittableRandom(1);
+        Waits waits = new Waits("a", 1, 1000, new double[] {2000});
+        long id = 0;
+        for (int round = 0; round < 5 * slower.length; round++) {
+            View view = new View(500, true);
+            for (int i = 0; i < 900; i++) {
+                waits.taken(0, ++id, i % 30, 0, 0, 10);
+                waits.ended(30 + random.nextInt(40) + (i % 30 == 7 ? (long) slower[round / 5] : 0), id, 0,
+                    Waits.End.SERVED);
+            }
+            view.add(round * 1000L, waits.close(1000));
+            judge.round(round * 1000L, view);
+            if (round % 5 == 0 && round > 5) {
+                assertEquals(stands[round / 5 - 1], judge.of(7, 0, 0), "one round alone changes nothing");
+            }
+            if (round % 5 == 4) {
+                assertEquals(stands[round / 5], judge.of(7, 0, 0), "phase " + round / 5);
+                assertEquals(Kind.FINE, judge.of(8, 0, 0));
+            }
+        }
+    }
+}
