--- a/src/main/java/maplespread/starvation/Comparison.java
+++ b/src/main/java/maplespread/starvation/Comparison.java
@@ -4,8 +4,8 @@
 
 /**
  * One group's waits against the others', stratum by stratum, where some waits are only known to be at least
- * so long. Two questions. Can it be chance: the log-rank test, by how many of the group's jobs should have been
- * served by each moment if it waited as all do, and how many were. Does it matter: the difference of the mean
+ * so long. Two questions. Can it be chance: the log-rank test, by how many of the group's jobs should have
+ * been served by each moment if it waited as all do, and how many were. Does it matter: the difference of the mean
  * waits, cut at the deadline (restricted means of Kaplan and Meier's curves), as a share of it.
  *
  * <p>The number that should have been served is a sum over the group's own jobs of the risk that all together
--- a/src/main/java/maplespread/starvation/Exchange.java
+++ b/src/main/java/maplespread/starvation/Exchange.java
@@ -7,8 +7,8 @@
 /**
  * Windows as bytes, for the transport among instances, within a bound each. A window that is too long for it
  * is thinned: jobs are left out evenly by a hash of what they are and the window's number, and counted as
- * left out, so that the comparison has less to go by and no other picture. HdrHistogram's own form would do, but
- * spends 40 bytes on the head of each of a hundred histograms that hold one job.
+ * left out, so that the comparison has less to go by and no other picture. HdrHistogram's own form would do,
+ * but spends 40 bytes on the head of each of a hundred histograms that hold one job.
  *
  * <p>Guards against bytes that are not a window: whatever is out of range or order is no window at all.
  */
