--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -192,7 +192,7 @@
         Service service = new Service(this::config, dispatcher, branches,
             threads("transaction", config.sizes().transactions() + 8), this::sizes, figures,
             lifecycle::serving, routes::unready,
-            lifecycle::parting, () -> lastUs);
+            lifecycle::parting, () -> lastUs, parts.ends());
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         thread("listener", listener).start();
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import maplespread.facade.Ends;
 import maplespread.figures.Figures;
 import maplespread.figures.Figures.Code;
 import maplespread.http.HttpConnection;
@@ -20,6 +21,9 @@
     private final CountDownLatch over = new CountDownLatch(1);
     private volatile boolean closed;
     private volatile String lane;                                // of the job taken; null: none was
+    private volatile String tried;                               // the worker that it went to last
+    private volatile Ends ends;                                  // null: nobody hears of it
+    private volatile long number;                                // of the job, to whom hears of it
     private long takenAt;                                        // nanoseconds; written before the lane
 
     /** {@code last}: whether the connection ends with this answer, asked when it is given. */
@@ -36,6 +40,26 @@
         figures.taken();
     }
 
+    /** The same, and whoever wants to hear of it does; null: nobody. */
+    void taken(JobRequest job, Ends who) {
+        taken(job.message.lane());
+        ends = who;
+        number = who == null ? 0 : who.taken(job.transaction);
+    }
+
+    /** The job goes to this worker now. */
+    void tried(String worker) {
+        tried = worker;
+    }
+
+    private void ended(Ends.How how) {
+        Ends who = ends;
+        ends = null;                                             // once, though ending the connection fails
+        if (who != null) {
+            who.ended(number, how, tried);
+        }
+    }
+
     void served(byte[] result) {
         give(Code.SUCCESS, HttpWriter.response(200), result);
     }
@@ -70,6 +94,7 @@
     void drop() {
         if (claimed.compareAndSet(false, true)) {
             figures.left();
+            ended(Ends.How.LEFT);
             over();
         }
     }
@@ -103,10 +128,13 @@
             if (lane != null) {
                 figures.answered(lane, code, System.nanoTime() - takenAt);
             }
+            ended(code == Code.SUCCESS ? Ends.How.SERVED : code == Code.BUSY ? Ends.How.BUSY
+                : Ends.How.FAILED);
             if (close) {
                 connection.endSending();
             }
         } catch (IOException e) {
+            ended(Ends.How.LEFT);
             connection.close();                                  // the client has gone
         } finally {
             over();
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -273,7 +273,7 @@
 
     private void job(JobRequest job, Answer answer) throws IOException, InterruptedException {
         if (turnAway || !service.room().tryAcquire()) {
-            answer.taken(job.message.lane());
+            answer.taken(job, service.ends());
             answer.busy(FULL_PAUSE_MS);
             return;
         }
@@ -285,7 +285,7 @@
         }
         useful = true;
         faults = 0;
-        answer.taken(job.message.lane());
+        answer.taken(job, service.ends());
         try {
             service.transactions().execute(() -> {
                 try {
@@ -373,6 +373,7 @@
     private boolean branch(JobRequest job, Branch branch, Answer answer) {
         Branches.Ended end = null;
         Outcome outcome = Outcome.RESET;                         // should the run itself fail
+        answer.tried(branch.worker());
         try {
             end = service.branches().run(branch, job.message);
             outcome = end.outcome;
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.Ends;
 import maplespread.figures.Figures;
 import maplespread.worker.Branches;
 
@@ -14,12 +15,13 @@
  * What all caller legs share. {@code sizes}: how much may be held at present; {@code serving}: false from the
  * start of the shutdown on; {@code unready}: why the workers known are not to be relied on, or null; {@code
  * parting}: whether connections are to end after their present requests; {@code lastUs}: no request may last
- * beyond it.
+ * beyond it; {@code ends}: hears of each job, or null.
  */
 public record Service(Supplier<Config> current, Dispatcher dispatcher, Branches branches,
                       ExecutorService transactions, Supplier<Config.Sizes> sizes, Room room,
                       Semaphore largeRoom, Ids ids, Figures figures, BooleanSupplier serving,
-                      Supplier<String> unready, BooleanSupplier parting, LongSupplier lastUs) {
+                      Supplier<String> unready, BooleanSupplier parting, LongSupplier lastUs,
+                      Ends ends) {
     /** Bodies above this length are few, and so many at once fit the heap. */
     static final int LARGE = 8 * 1024;
     private static final int LARGE_AT_ONCE = 48;
@@ -28,10 +30,10 @@
     public Service(Supplier<Config> current, Dispatcher dispatcher, Branches branches,
             ExecutorService transactions, Supplier<Config.Sizes> sizes, Figures figures,
             BooleanSupplier serving, Supplier<String> unready, BooleanSupplier parting,
-            LongSupplier lastUs) {
+            LongSupplier lastUs, Ends ends) {
         this(current, dispatcher, branches, transactions, sizes, new Room(() -> sizes.get().transactions()),
             new Semaphore(LARGE_AT_ONCE), new Ids(() -> current.get().times().longestMs()), figures, serving,
-            unready, parting, lastUs);
+            unready, parting, lastUs, ends);
     }
 
     /** What holds at present; asked once for each request, which keeps to it. */
--- a/src/main/java/maplespread/config/Operator.java
+++ b/src/main/java/maplespread/config/Operator.java
@@ -8,10 +8,11 @@
  * What the operators' own file says, read and checked by {@link OperatorReader}. {@code registry}: null where
  * the workers come from the platform's discovery; {@code subset}: null where each dispatcher uses all
  * workers; {@code fair}: whether requests beyond their tenant's share give way; {@code group}: null where
- * dispatchers share nothing; {@code release}: who may be out at once, null where nothing is agreed on that.
+ * dispatchers share nothing; {@code release}: who may be out at once, null where nothing is agreed on that;
+ * {@code starvation}: null where it is not looked for.
  */
 public record Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair,
-        GroupSettings group, Limits release) {
+        GroupSettings group, Limits release, StarvationSettings starvation) {
     /** What counts where there is no file. */
     public static final Operator NONE = new Operator(false, null);
 
@@ -22,6 +23,6 @@
 
     /** Without a group. */
     public Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair) {
-        this(jsonLog, registry, subset, fair, null, null);
+        this(jsonLog, registry, subset, fair, null, null, null);
     }
 }
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -51,8 +51,19 @@
         if (release != null && group == null) {
             throw root.error("release", "needs a group: nothing can be agreed without one");
         }
+        StarvationSettings starvation = root.has("starvation") ? starvation(root.part("starvation")) : null;
         root.end();
-        return new Operator(json, registry, subset, fair, group, release);
+        return new Operator(json, registry, subset, fair, group, release, starvation);
+    }
+
+    private static StarvationSettings starvation(Checked in) throws ConfigError {
+        String verdicts = in.oneOf("verdicts", "log", List.of("log", "console", "both", "off"));
+        StarvationSettings set = new StarvationSettings((int) in.whole("window_ms", 1000, 100, 60_000),
+            (int) in.whole("windows", 10, 3, 60), in.number("matters", 0.1, 0.01, 1),
+            verdicts.equals("log") || verdicts.equals("both"),
+            verdicts.equals("console") || verdicts.equals("both"),
+            in.whole("bytes_per_s", 200_000, 1_000, 100_000_000));
+        return verdicts.equals("off") ? null : set;
     }
 
     private static GroupSettings group(Checked in) throws ConfigError {
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -48,6 +48,19 @@
         this.key = key;
     }
 
+    public int cls() {
+        return cls;
+    }
+
+    public int tenant() {
+        return tenant;
+    }
+
+    /** NaN where no estimate came. */
+    public double workMs() {
+        return workMs;
+    }
+
     public long deadlineUs() {
         return deadlineUs;
     }
--- a/src/main/java/maplespread/parts/Part.java
+++ b/src/main/java/maplespread/parts/Part.java
@@ -7,6 +7,7 @@
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.decision.Dispatch;
+import maplespread.facade.Ends;
 import maplespread.figures.Figures;
 import maplespread.routes.RouteSink;
 
@@ -36,6 +37,11 @@
         return told;
     }
 
+    /** Who hears of each job; null: this part does not. */
+    default Ends ends() {
+        return null;
+    }
+
     /** Its calls on the console by method and path; one of a name that is there takes that one's place. */
     default Map<String, Calls.Call> calls() {
         return Map.of();
--- a/src/main/java/maplespread/parts/Parts.java
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -9,6 +9,7 @@
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.decision.Dispatch;
+import maplespread.facade.Ends;
 import maplespread.figures.Figures;
 import maplespread.routes.RouteSink;
 import org.tinylog.Logger;
@@ -24,13 +25,17 @@
         if (operator.subset() != null) {
             all.add(new SubsetPart(config.settings(), operator.subset(), host));
         }
+        GroupPart group = null;
         if (operator.group() != null) {
-            GroupPart group = new GroupPart(operator.group(), config, host);
+            group = new GroupPart(operator.group(), config, host);
             all.add(group);
             if (operator.release() != null) {
                 all.add(new ReleasePart(operator.release(), operator.registry(), config, host, group));
             }
         }
+        if (operator.starvation() != null) {
+            all.add(new StarvationPart(operator.starvation(), config, group));
+        }
         if (config.console() != null && config.tmp() != null) {
             upgrade = new UpgradePart(config, host);
             all.add(upgrade);                                    // shares what the others leave
@@ -60,6 +65,7 @@
         later("subset", begun.subset(), next.subset());
         later("group", begun.group(), next.group());
         later("release", begun.release(), next.release());
+        later("starvation", begun.starvation(), next.starvation());
         for (Part part : all) {
             part.reload(config, next);
         }
@@ -90,6 +96,11 @@
         return hosts;
     }
 
+    /** Who hears of each job; null: nobody. */
+    public Ends ends() {
+        return all.stream().map(Part::ends).filter(e -> e != null).findFirst().orElse(null);
+    }
+
     /** The console's calls: these, and those of the parts. */
     public Calls calls(Map<String, Calls.Call> own) {
         Map<String, Calls.Call> table = new TreeMap<>(own);
--- a/src/main/java/maplespread/starvation/Comparison.java
+++ b/src/main/java/maplespread/starvation/Comparison.java
@@ -18,7 +18,8 @@
     static final class Table {
         final int n, held;
         final double tauMs, meanMs;                              // the deadline; the restricted mean
-        private final double[] hazard = new double[Code.BINS.length];    // Nelson and Aalen's, by bin
+        private final double[] hazard = new double[Code.BINS.length];    // Nelson and Aalen's, by bin's end
+        private final double[] within = new double[Code.BINS.length];    // for one served in the bin
 
         Table(Sample all, double tauMs) {
             this.tauMs = tauMs;
@@ -32,7 +33,14 @@
                 for (; bin < all.bin(i); bin++) {
                     hazard[bin] = sum;
                 }
-                sum += all.held(i) ? 0 : all.count(i) / at;
+                if (!all.held(i)) {
+                    double more = 0;                             // served one after the other, in any order
+                    for (int k = 0; k < all.count(i); k++) {
+                        more += 1 / (at - k);
+                    }
+                    within[bin] = sum + 1 - (at - all.count(i)) / all.count(i) * more;
+                    sum += more;
+                }
                 at -= all.count(i);
             }
             for (; bin < hazard.length; bin++) {
@@ -111,7 +119,7 @@
         worst(own, counts, false, out);
         double beside = (all.n * all.meanMs - own.n() * mean(own, own.n(), all.tauMs)) / others;
         for (int i = 0; i < counts.length; i++) {
-            sum.expected += counts[i] * all.hazard[own.bin(i)];
+            sum.expected += counts[i] * (own.held(i) ? all.hazard : all.within)[own.bin(i)];
             sum.observed += own.held(i) ? 0 : counts[i];
             sum.held += own.held(i) ? counts[i] : 0;
         }
--- a/src/main/java/maplespread/starvation/Judge.java
+++ b/src/main/java/maplespread/starvation/Judge.java
@@ -190,12 +190,20 @@
     private Map<Long, Group> groups(View view) {
         Map<Long, Group> groups = new TreeMap<>();
         view.strata().forEach((s, sample) -> {
+            if (Code.cls(s) >= site.deadlinesMs().length) {
+                return;                                          // of a dispatcher with other settings
+            }
             Group g = groups.computeIfAbsent(key(s), k -> new Group(Code.cls(s), Code.place(s)));
             g.totals[Code.band(s)] = sample;
             g.tables[Code.band(s)] = new Table(sample, tau(g.cls));
         });
-        view.cells().forEach((cell, sample) -> groups.get(key(cell)).tenants
-            .computeIfAbsent(Code.tenant(cell), t -> new Sample[BANDS])[Code.band(cell)] = sample);
+        view.cells().forEach((cell, sample) -> {
+            Group g = groups.get(key(cell));
+            if (g != null) {
+                g.tenants.computeIfAbsent(Code.tenant(cell), t -> new Sample[BANDS])[Code.band(cell)]
+                    = sample;
+            }
+        });
         return groups;
     }
 
--- a/src/main/java/maplespread/starvation/Waits.java
+++ b/src/main/java/maplespread/starvation/Waits.java
@@ -21,6 +21,8 @@
     /** A job that was taken. {@code workMs}: NaN where nobody said. */
     private record Open(int tenant, int cls, int place, double workMs, long takenMs) { }
 
+    /** The job ended where it was to be. */
+    public static final int WHERE_TAKEN = -1;
     private static final int MOST_CELLS = 4096;
     private static final int MOST_OPEN = 8192;
     private final String process;
@@ -42,12 +44,13 @@
 
     /** A job was taken; {@code place}: where it would be, as far as is known. */
     public void taken(long nowMs, long id, int tenant, int cls, int place, double workMs) {
-        if (open.size() < MOST_OPEN) {
+        if (open.size() < MOST_OPEN && tenant < Code.MOST_TENANTS && cls < Code.MOST_CLASSES
+                && place < Code.MOST_PLACES) {
             open.put(id, new Open(tenant, cls, place, workMs, nowMs));
         }
     }
 
-    /** It ended: its last byte was sent, or nobody waits for it. */
+    /** It ended: its last byte was sent, or nobody waits for it; {@code place}: or WHERE_TAKEN. */
     public void ended(long nowMs, long id, int place, End end) {
         Open job = open.remove(id);
         if (job == null) {
@@ -59,7 +62,7 @@
         if (end == End.REFUSED || end == End.FAILED) {
             waitMs = Math.max(waitMs, deadlinesMs[job.cls]);
         }
-        long cell = cell(job, place);
+        long cell = cell(job, place == WHERE_TAKEN ? job.place : place);
         Sample s = cells.get(cell);
         if (s == null) {
             if (cells.size() >= MOST_CELLS) {
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -85,7 +85,8 @@
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
                 "upgrade", "subset", "fair", "faults", "parts", "group", "release/client", "lab/fleet",
-                "agreement", "agreement/client", "lab/agreement", "starvation", "lab/starvation",
+                "agreement", "agreement/client", "lab/agreement", "starvation", "starvation/client",
+                "lab/starvation",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -39,6 +39,9 @@
         assertNull(read("{}").subset());
         assertTrue(read("{'shares':{'beyond':'give_way'}}").fair() && !read("{'shares':{}}").fair());
         assertEquals(new Cut.Wish(10, 20), read("{'subset':{}}").subset());
+        assertEquals(new StarvationSettings(1000, 10, 0.1, true, false, 200_000),
+            read("{'starvation':{}}").starvation());
+        assertNull(read("{'starvation':{'verdicts':'off'}}").starvation());
         assertEquals(Operator.NONE, OperatorReader.file(null));
     }
 
@@ -59,6 +62,8 @@
         "{'form':'json'}           | {'form':'json'},'subset':{'sharers':0} | subset.sharers: must be",
         "{'form':'json'}           | {'form':'json'},'subset':{'leats':5} | subset.leats: is not known; did",
         "{'form':'json'}           | {'form':'json'},'shares':{'beyond':'all'} | shares.beyond: must be one",
+        "{'form':'json'}           | {'form':'json'},'starvation':{'matters':2} | starvation.matters: must",
+        "{'form':'json'}           | {'form':'json'},'starvation':{'window':2} | starvation.window: is not",
         "{'form':'json'}           | {'form':'xml'}       | log.form: must be one of",
         "{'form':'json'}           | 3                    | log: must be an object",
         "'log'                     | 'logs'               | logs: is not known; did you mean log?"})
--- /dev/null
+++ b/src/test/java/maplespread/net/StarvationStoryTest.java
@@ -0,0 +1,63 @@
+package maplespread.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import maplespread.Server;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
+import maplespread.config.Operator;
+import maplespread.config.OperatorReader;
+import org.junit.jupiter.api.Test;
+
+/** One dispatcher over sockets: a tenant whose jobs nobody answers is named while they are still in work. */
+class StarvationStoryTest {
+    private static final int JOBS = 8;
+
+    @Test void aTenantWhoseJobsLieIsNamedAndNobodyElse() throws Exception {
+        Loopback.Peer worker = new Loopback.Peer(call -> {
+            if (call.head.get("X-Org").equals("acme")) {
+                call.open();
+                call.done("x");
+            }
+        });
+        Loopback here = new Loopback(worker);
+        here.server.stop();                                      // another one takes its place
+        String file = here.file.replace("{\"name\":\"acme\",\"allowancePerS\":100}",
+            "{\"name\":\"acme\",\"allowancePerS\":0},{\"name\":\"bolt\",\"allowancePerS\":0}");
+        Operator operator = OperatorReader.text("{\"starvation\":{\"window_ms\":200,\"windows\":60,"
+            + "\"verdicts\":\"both\"}}");
+        Config config = Loopback.console(ConfigReader.read(file, Map.of()));
+        here.server = new Server(config, operator, () -> config);
+        here.server.start();
+        List<Loopback.Client> waiting = new ArrayList<>();
+        try (Loopback.Client client = here.new Client()) {
+            for (int i = 0; i < 60; i++) {
+                assertEquals(200, client.status(Loopback.job("order", "a" + i, 5000)));
+            }
+            for (int i = 0; i < JOBS; i++) {
+                waiting.add(here.new Client().send(Loopback.job("order", "b" + i, 5000)
+                    .replace("X-Org: acme", "X-Org: bolt")));
+            }
+            Loopback.until("bolt is named", () -> told(here).contains("\"STARVED\""));
+            String told = told(here);
+            assertTrue(told.contains("\"tenant\": 1") && !told.contains("\"tenant\": 0"), told);
+        } finally {
+            waiting.forEach(Loopback.Client::close);
+            here.close();
+            worker.close();
+        }
+    }
+
+    private static String told(Loopback here) {
+        try {
+            return here.call("GET /admin/starvation").body;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- a/src/test/java/maplespread/starvation/JudgeTest.java
+++ b/src/test/java/maplespread/starvation/JudgeTest.java
@@ -41,6 +41,10 @@
         assertEquals((2 + 98 / 2.0) * 2, s.own, 1e-9, "half goes on from 2 to the end");
         assertEquals(1, s.held);
         assertEquals(1, s.othersHeld);
+        s = compare(sample(-9, -9, -9), sample(1, 1, 1, 1), 1);
+        assertEquals(3 * (1 / 7.0 + 1 / 6.0 + 1 / 5.0 + 1 / 4.0), s.expected, 1e-12, "ties come in turn");
+        s = compare(sample(1, 1), sample(1, 1, 1), 1);
+        assertEquals(s.observed, s.expected, 1e-12, "all alike");
     }
 
     /** Rows: own waits, others', what is kept; whether it waits longer. */
