--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -48,7 +48,7 @@
         String[] pure = {"maplespread.decision", "maplespread.registry", "maplespread.registry.wire",
             "maplespread.membership", "maplespread.address", "maplespread.announce", "maplespread.subset",
             "maplespread.fair", "maplespread.agreement", "maplespread.faults", "maplespread.release",
-            "maplespread.partition"};
+            "maplespread.partition", "maplespread.starvation"};
         noClasses().that().resideInAnyPackage(pure).should().dependOnClassesThat()
             .resideInAnyPackage("java.nio.file..", "java.nio.channels..",
                 "java.util.concurrent..", "java.time..", "org.tinylog..", "maplespread.http..",
@@ -85,8 +85,8 @@
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
                 "upgrade", "subset", "fair", "faults", "parts", "group", "release", "release/client",
-                "lab/fleet",
-                "agreement", "agreement/client", "lab/agreement", "partition", "lab/partition", "lab/release",
+                "lab/fleet", "agreement", "agreement/client", "lab/agreement", "partition", "lab/partition",
+                "lab/release", "starvation", "starvation/client", "lab/starvation",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
         }
