--- a/src/main/java/maplespread/parts/ReleasePart.java
+++ b/src/main/java/maplespread/parts/ReleasePart.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import maplespread.agreement.Value;
 import maplespread.agreement.client.Register;
 import maplespread.config.Config;
 import maplespread.config.Operator;
@@ -38,8 +39,12 @@
 
         @Override public View view() {
             GroupPart.Joined j = group.joined();
-            return j == null ? new View(List.of(), View.Service.NONE) : sight.view(j.group().members(),
-                j.statuses(), host.config(), GroupPart.nowMs(), System.currentTimeMillis());
+            if (j == null) {
+                return new View(List.of(), View.Service.NONE);
+            }
+            Value agreed = j.register().known();
+            return sight.view(j.group().members(), j.statuses(), host.config(), GroupPart.nowMs(),
+                System.currentTimeMillis()).among(agreed == null ? List.of() : agreed.electors());
         }
 
         @Override public long run() {
--- a/src/main/java/maplespread/release/View.java
+++ b/src/main/java/maplespread/release/View.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 
-/** What one instance sees of the fleet at this moment, and how it is served. */
-public record View(List<Member> members, Service service) {
+/**
+ * What one instance sees of the fleet at this moment, how it is served, and whose majority decides (none: not
+ * told).
+ */
+public record View(List<Member> members, Service service, List<String> electors) {
     public enum Role { DISPATCHER, WORKER }
 
     /** UNKNOWN: nothing is heard of it. Whatever is not SERVING counts as out. */
@@ -28,6 +31,16 @@
 
     public View {
         members = List.copyOf(members);
+        electors = List.copyOf(electors);
+    }
+
+    public View(List<Member> members, Service service) {
+        this(members, service, List.of());
+    }
+
+    /** The same with these electors. */
+    public View among(List<String> names) {
+        return new View(members, service, names);
     }
 
     /** The member of this name, or null. */
--- a/src/test/java/maplespread/release/ReleaseTest.java
+++ b/src/test/java/maplespread/release/ReleaseTest.java
@@ -76,6 +76,24 @@
         does(Commands.back("d0", state.leaves().get(id).number(), fleet.get(id)));
     }
 
+    /** Five of nine may go by the limits; electors that restart know nothing, so their majority stays. */
+    @Test
+    void aMajorityOfElectorsStays() throws ReleaseRefused {
+        for (int i = 3; i < 9; i++) {
+            put("d" + i, Role.DISPATCHER, "z0", 1, "1", Status.SERVING, 0, true);
+        }
+        does(Commands.limits("op", new Limits(5, 2, 1, Limits.ANY, 0.5, 0, 20_000, 0.05, 0.02, 0.5)));
+        does(Commands.changeMembers("d0", state.calm(), new ArrayList<>(fleet.values())));
+        List<String> electors = List.of("d0", "d1", "d2", "d3", "d4");
+        set("d4", 1, "1", Status.UNKNOWN);                       // an accident, seen by the proposer alone
+        does(Commands.leaveByHand("op", "d8", state.calm(), view().among(electors), "no elector"));
+        does(Commands.leaveByHand("op", "d0", state.calm(), view().among(electors), "three are left"));
+        refused(Reason.LIMIT, Commands.leaveByHand("op", "d1", state.calm(), view().among(electors), "two"));
+        does(Commands.leaveByHand("op", "d7", state.calm(), view().among(electors), "no elector"));
+        View other = view().among(List.of("d1", "d2", "d3"));
+        does(Commands.leaveByHand("op", "d1", state.calm(), other, "two of three are left"));
+    }
+
     /** Where each call leads from each state; a reason where it is refused. */
     @Test
     void everyCallIsDefinedFromEveryState() throws ReleaseRefused {
