--- a/src/main/java/maplespread/lab/rig/GroupLinks.java
+++ b/src/main/java/maplespread/lab/rig/GroupLinks.java
@@ -149,9 +149,11 @@
             long spread = t.spreadMs > 0 ? random.nextLong(t.spreadMs * 1_000_000) : 0;
             byte[] packet = new byte[buffer.remaining()];
             buffer.get(packet);
+            if (twice) {
+                repeated.increment();                            // first: passed may be no more than is counted
+            }
             hold(from, to, packet, t.lateMs * 1_000_000 + spread);
             if (twice) {
-                repeated.increment();
                 hold(from, to, packet, t.lateMs * 1_000_000 + random.nextLong(REPEAT_MS * 1_000_000));
             }
         }
