--- a/src/main/java/maplespread/lab/rig/GroupLinks.java
+++ b/src/main/java/maplespread/lab/rig/GroupLinks.java
@@ -150,7 +150,7 @@
             byte[] packet = new byte[buffer.remaining()];
             buffer.get(packet);
             if (twice) {
-                repeated.increment();                            // first: passed may be no more than is counted
+                repeated.increment();                            // before it passes: sums must not fit early
             }
             hold(from, to, packet, t.lateMs * 1_000_000 + spread);
             if (twice) {
--- a/src/test/java/maplespread/lab/rig/GroupLinksTest.java
+++ b/src/test/java/maplespread/lab/rig/GroupLinksTest.java
@@ -99,7 +99,7 @@
                 });
             }
             await(() -> agree(groups, Set.of(0, 1, 2, 3)));
-            // They may agree before each trouble has come once: some of the first packets are enough for that.
+            // They may agree before each trouble has come once: a few packets are enough for that.
             await(() -> links.lost.sum() > 0 && links.repeated.sum() > 0 && links.overtaken.sum() > 0);
             links.all(Trouble.NONE);
             links.set(0, 1, Trouble.CUT);                        // others ask in its place
