Founding asks itself, a life begins above every epoch heard of; scripts for each guard

Two scripts broke what is promised on the code as it was: a founder that is no elector never asked itself, so a value that it alone still knew was lost; and a first life could begin in an epoch that its proposer knew by a ballot alone, so that one version had two values. The founder now is among those asked, and a life begins in an epoch of its own, above every ballot heard of and every run.

Needless by proof, and taken out: old electors in a finish, a move only over what is known as decided, and the equal ballot of a blind one that joins (its counted promise says it). A change may throw any error of the fleet's family, and its caller gets it as it is.

ScriptsTest plays ten scripts, word by word; proposers that meet at every try are played in virtual time.

--- a/src/main/java/maplespread/agreement/Agreement.java
+++ b/src/main/java/maplespread/agreement/Agreement.java
@@ -15,6 +15,7 @@
 import maplespread.agreement.Kept.Done;
 import maplespread.agreement.Kept.Held;
 import maplespread.agreement.Word.Kind;
+import maplespread.faults.FleetError;
 
 /**
  * One member's part: its vote where it is an elector, its own changes, one after another, and the last value
@@ -58,11 +59,12 @@
         final Set<String> refused = new HashSet<>();
         final Map<String, Word> promises = new TreeMap<>();
         final Map<String, Long> accepted = new TreeMap<>();      // by which run
+        final boolean life;                                      // its epoch is above every one heard of
         Kept next;                                               // null: promises are still awaited
-        List<List<String>> lists;                                // that must accept it
 
-        Try(Ballot ballot, long since, long endAt) {
+        Try(Ballot ballot, boolean life, long since, long endAt) {
             this.ballot = ballot;
+            this.life = life;
             this.since = since;
             this.endAt = endAt;
         }
@@ -196,7 +198,7 @@
         }
         nudge(at);
         if (open == null && !jobs.isEmpty() && at >= tryAt) {
-            begin(at);
+            begin(at, false);
         }
         if (at >= newsAt) {
             newsAt = at + set.mostRetryMs();
@@ -470,8 +472,8 @@
     private void accept(long at, Word w) {
         // Promises of a run that is over may be forgotten: a try that rests on one must begin anew.
         boolean rests = w.quorum().entrySet().stream().allMatch(q -> current(q.getKey(), q.getValue()));
-        // A blind one joins a life that is founded if this very run has promised so, and was counted.
-        if (blind && !(w.founding() && promised.equals(w.ballot()) && w.quorum().containsKey(set.name()))) {
+        // A blind one may have forgotten what it promised, but not to a try that its promise was counted for.
+        if (blind && !(w.founding() && w.quorum().containsKey(set.name()))) {
             return;
         }
         if (!rests || w.ballot().compareTo(promised) < 0) {
@@ -517,22 +519,24 @@
         return Math.min(set.mostRetryMs(), set.retryMs() << Math.min(tries, 10));
     }
 
-    private void begin(long at) {
+    /** {@code life}: nobody is known to keep anything; what is decided is to be a life of its own. */
+    private void begin(long at, boolean life) {
         Job job = jobs.peek();
         Ballot after = Ballot.later(highest, promised);
         long epoch = after.epoch();
         if (job.founding) {
             epoch = Math.max(job.triedEpoch, epoch + 1);
-        } else if (epoch == 0) {
-            epoch = newestRun();
+        } else if (life) {
+            epoch = Math.max(newestRun(), epoch + 1);
         }
         Ballot ballot = new Ballot(epoch, epoch > after.epoch() ? 1 : after.round() + 1, set.name(), boot);
         highest = ballot;
-        open = new Try(ballot, at, at + (job.founding ? 2 * set.mostRetryMs() : waitMs()));
+        open = new Try(ballot, life, at, at + (job.founding ? 2 * set.mostRetryMs() : waitMs()));
         Set<String> to = names(electors());
         if (job.founding) {
             to.addAll(job.electors);
             to.addAll(members);
+            to.add(set.name());                                  // no elector perhaps, and alone in knowing
         }
         prepareAt(to);
     }
@@ -558,13 +562,11 @@
     /** Where those that refuse leave no majority, waiting on is in vain. */
     private void refused(long at, Word w) {
         open.refused.add(w.from());
+        List<List<String>> lists = open.next != null ? open.next.lists()
+            : jobs.peek().founding ? List.of(jobs.peek().electors) : lists(newest());
         Set<String> left = new HashSet<>(open.asked);
-        left.addAll(open.lists == null ? Set.of() : names(open.lists));
+        left.addAll(names(lists));
         left.removeAll(open.refused);
-        List<List<String>> lists = open.lists;
-        if (lists == null) {
-            lists = jobs.peek().founding ? List.of(jobs.peek().electors) : lists(newest());
-        }
         if (!majorities(lists, left)) {
             failed(at);
         }
@@ -589,14 +591,9 @@
         if (!majorities(lists, yes) || job.founding && at - open.since < set.mostRetryMs()) {
             return;
         }
-        if (newest == null && !job.founding) {
-            // Nobody knows anything. A life that begins must come after every one that was.
-            long least = Math.max(newestRun(), known == null ? 0 : known().epoch() + 1);
-            if (open.ballot.epoch() < least) {
-                highest = Ballot.later(highest, new Ballot(least, 0, "", 0));
-                begin(at);
-                return;
-            }
+        if (newest == null && !job.founding && !open.life) {
+            begin(at, true);                                     // nobody knows anything
+            return;
         }
         Kept base = newest != null ? newest.kept()
             : new Kept(new Value(open.ballot.epoch(), 0, "", 0, set.electors()), List.of(), List.of());
@@ -613,12 +610,8 @@
         Map<String, Long> quorum = new TreeMap<>();
         open.promises.forEach((n, w) -> quorum.put(n, w.boot()));
         open.next = next;
-        open.lists = new ArrayList<>(next.lists());
-        if (!job.founding) {
-            open.lists.addAll(base.lists());
-        }
         Word w = word(Kind.ACCEPT, open.ballot, job.founding, 0, quorum, new Held(open.ballot, next));
-        names(open.lists).forEach(n -> send(n, w));
+        names(next.lists()).forEach(n -> send(n, w));
     }
 
     /** What a life begins with; null where there is nothing to begin, and the job is over. */
@@ -651,7 +644,8 @@
     /** What is to follow; null where that cannot be told any more, and the job is over. */
     private Kept next(Job job, Kept base) {
         Value v = base.value();
-        // Electors change only over what is known to be decided: lists then differ by one step at most.
+        // Old electors end only where a majority of them is known to have taken the new: else who asks them
+        // alone would never hear of those. The next step begins only after that.
         boolean decided = known != null && known.kept().equals(base);
         List<String> before = decided ? List.of() : base.before();
         List<String> electors = v.electors();
@@ -659,7 +653,7 @@
         String text = v.text();
         long number = v.electorsNumber();
         job.refusal = null;
-        if (job.electors != null && decided && base.before().isEmpty() && !same(electors, job.electors)) {
+        if (job.electors != null && base.before().isEmpty() && !same(electors, job.electors)) {
             before = electors;
             electors = step(electors, job.electors);
             number++;
@@ -677,7 +671,7 @@
                 if (bytes > MOST_TEXT) {
                     throw new TooLarge(bytes, MOST_TEXT);
                 }
-            } catch (Refused | TooLarge | RuntimeException e) {
+            } catch (FleetError | RuntimeException e) {
                 text = v.text();
                 job.refusal = e;                                 // told once what it rests on is decided
             }
@@ -711,7 +705,7 @@
 
     private void tryDecide(long at) {
         open.accepted.entrySet().removeIf(e -> !current(e.getKey(), e.getValue()));
-        if (!majorities(open.lists, open.accepted.keySet())) {
+        if (!majorities(open.next.lists(), open.accepted.keySet())) {
             return;
         }
         Held held = new Held(open.ballot, open.next);
--- a/src/main/java/maplespread/agreement/Change.java
+++ b/src/main/java/maplespread/agreement/Change.java
@@ -1,5 +1,7 @@
 package maplespread.agreement;
 
+import maplespread.faults.FleetError;
+
 /** What a caller wants of the value. */
 @FunctionalInterface
 public interface Change {
@@ -8,7 +10,8 @@
 
     /**
      * The text that is to follow; the same text where nothing is to change, which makes it a read. May be
-     * called several times, with values that are never decided: it must have no other effect.
+     * called several times, with values that are never decided: it must have no other effect. What it throws
+     * refuses it, and comes with the result as it is.
      */
-    String apply(Value now) throws Refused;
+    String apply(Value now) throws FleetError;
 }
--- a/src/main/java/maplespread/lab/agreement/VirtualAgreement.java
+++ b/src/main/java/maplespread/lab/agreement/VirtualAgreement.java
@@ -107,6 +107,8 @@
     /** Chances of a packet to be lost, and to come twice; the most that it is delayed, in milliseconds. */
     public double loss, twice;
     public int delayMs = 3;
+    /** What a word with a value in it takes beside that. */
+    public int valueMs;
 
     /** {@code electors}: of everybody's settings, at every start. */
     public VirtualAgreement(List<String> electors, long seed) {
@@ -206,7 +208,8 @@
         int copies = random.nextDouble() < twice ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             if (random.nextDouble() >= loss && !cut.contains(from + ' ' + to)) {
-                packets.add(new Packet(now + 1 + random.nextInt(delayMs), ++order, from, to, word));
+                long at = now + 1 + random.nextInt(delayMs) + (word.held() == null ? 0 : valueMs);
+                packets.add(new Packet(at, ++order, from, to, word));
             }
         }
     }
--- a/src/test/java/maplespread/agreement/AgreementTest.java
+++ b/src/test/java/maplespread/agreement/AgreementTest.java
@@ -234,6 +234,25 @@
         }
     }
 
+    /** Each one's words come just between another's two: without a rest by chance none is ever served. */
+    @Test
+    void proposersWhoMeetAtEveryTryAreServedAllTheSame() {
+        for (int proposers = 2; proposers <= 6; proposers++) {
+            VirtualAgreement g = group(3 + proposers, proposers);
+            until(g, 10_000, "sight", () -> sighted(g));
+            decide(g, "n0", "first");
+            g.delayMs = 1;
+            g.valueMs = 10;
+            for (int i = 0; i < proposers; i++) {
+                g.node("n" + (3 + i)).append("t" + i, 60_000);
+                g.run(5);
+            }
+            int all = proposers + 1;
+            until(g, 20_000, proposers + " proposers", () -> g.told().size() == all);
+            assertEquals(List.of(), g.faults());
+        }
+    }
+
     /** Words in any order, old ones kept for long, with restarts and moves anywhere: the histories' worst. */
     @Test
     void inNoOrderOfWordsHasAVersionTwoValues() {
--- /dev/null
+++ b/src/test/java/maplespread/agreement/ScriptsTest.java
@@ -0,0 +1,248 @@
+package maplespread.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import maplespread.agreement.Word.Kind;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Words one by one, by scripts: the shortest that were found in which a guard that is left out breaks what is
+ * promised. Members are single letters. Steps: {@code up ab} starts them, empty; {@code down a}; {@code p+x}
+ * appends; {@code p=abc} moves the electors there; {@code p!abc} founds with these; {@code again p} ends its
+ * try and its rest, {@code rest p} its rest alone; {@code KIND a bc} has such words from a to each arrive,
+ * {@code last KIND a b} the newest, {@code copy KIND a b} leaves one under way; {@code ask p ab} stands for
+ * PREPARE and its answers, {@code put p ab} for ACCEPT, {@code see c ab} for ASK; {@code lose} drops all;
+ * {@code among ab} has all between these arrive; {@code first 3} the oldest three; {@code freeze p}, {@code
+ * thaw p}; {@code peace}: all arrives and time goes on until all are told.
+ */
+class ScriptsTest {
+    private static final long STEP = 100_000, FAR = 1_000_000_000_000L;
+
+    private record Packet(String to, Word word) { }
+
+    /** One play of a script. */
+    private static final class Play {
+        final List<String> electors;
+        final Map<String, Agreement> nodes = new TreeMap<>();
+        final Map<String, Long> times = new TreeMap<>();
+        final List<Packet> packets = new ArrayList<>();
+        final Set<String> frozen = new HashSet<>();
+        final TreeMap<Long, TreeMap<Long, Value>> seen = new TreeMap<>();
+        final List<String> told = new ArrayList<>(), faults = new ArrayList<>();
+        long boots = 1000, wall = 1_000_000;
+        int asked;
+
+        Play(String electors) {
+            this.electors = List.of(electors.split(""));
+        }
+
+        Play run(String script) {
+            for (String step : script.split("; *")) {
+                String[] s = step.split(" ");
+                switch (s[0]) {
+                    case "up" -> each(s[1], this::start);
+                    case "down" -> each(s[1], nodes::remove);
+                    case "again" -> each(s[1], n -> {
+                        tick(n, STEP);
+                        tick(n, STEP);
+                    });
+                    case "rest" -> each(s[1], n -> tick(n, STEP));
+                    case "lose" -> packets.clear();
+                    case "first" -> {
+                        for (int n = Integer.parseInt(s[1]); n > 0 && !packets.isEmpty(); n--) {
+                            arrive(packets.remove(0));
+                        }
+                    }
+                    case "freeze" -> each(s[1], frozen::add);
+                    case "thaw" -> each(s[1], frozen::remove);
+                    case "among" -> all(p -> s[1].contains(p.to) && s[1].contains(p.word.from()));
+                    case "ask" -> both(Kind.PREPARE, Kind.PROMISE, s);
+                    case "put" -> both(Kind.ACCEPT, Kind.ACCEPTED, s);
+                    case "see" -> both(Kind.ASK, Kind.STATE, s);
+                    case "last", "copy" -> {
+                        List<Packet> fit = packets.stream().filter(p -> fits(p, s[1], s[2], s[3])).toList();
+                        Packet p = fit.get(fit.size() - 1);
+                        if (s[0].equals("last")) {
+                            packets.remove(packets.lastIndexOf(p));
+                        }
+                        arrive(p);
+                    }
+                    case "peace" -> peace();
+                    default -> {
+                        if (s.length == 3) {
+                            all(p -> fits(p, s[0], s[1], s[2]));
+                        } else {
+                            call(step);
+                        }
+                    }
+                }
+            }
+            return this;
+        }
+
+        private static void each(String names, java.util.function.Consumer<String> what) {
+            List.of(names.split("")).forEach(what);
+        }
+
+        private static boolean fits(Packet p, String kind, String from, String to) {
+            return p.word.kind().name().equals(kind) && from.contains(p.word.from()) && to.contains(p.to);
+        }
+
+        private void both(Kind there, Kind back, String[] s) {
+            all(p -> fits(p, there.name(), s[1], s[2]) || fits(p, back.name(), s[2], s[1]));
+        }
+
+        private void call(String step) {
+            Agreement node = nodes.get(step.substring(0, 1));
+            String with = step.substring(2);
+            long at = times.get(step.substring(0, 1));
+            asked++;
+            java.util.function.Consumer<Result> done = r -> {
+                told.add(step + ' ' + r.kind());
+                if (r.kind() == Result.Kind.DECIDED) {
+                    saw(r.value());
+                }
+            };
+            switch (step.charAt(1)) {
+                case '+' -> node.change(at, v -> v.text() + with, FAR, done);
+                case '=' -> node.electors(at, List.of(with.split("")), FAR, done);
+                case '!' -> node.found(at, wall, List.of(with.split("")), FAR, done);
+                default -> throw new IllegalArgumentException(step);
+            }
+        }
+
+        private void start(String name) {
+            AgreementSettings set = new AgreementSettings(name, electors, STEP, STEP);
+            times.putIfAbsent(name, 0L);
+            nodes.put(name, new Agreement(set, ++boots, boots, times.get(name), new AgreementSink() {
+                @Override public void send(String to, Word word) {
+                    packets.add(new Packet(to, word));
+                }
+
+                @Override public void learned(Value value) {
+                    saw(value);
+                }
+
+                @Override public void event(boolean warning, String event, Object... pairs) { }
+            }));
+            nodes.forEach((n, core) -> core.members(nodes.keySet()));
+            nodes.get(name).tick(times.get(name));
+        }
+
+        private void tick(String name, long ms) {
+            nodes.get(name).tick(times.merge(name, ms, Long::sum));
+        }
+
+        private void arrive(Packet p) {
+            if (nodes.containsKey(p.to)) {
+                nodes.get(p.to).received(times.get(p.to), p.word);
+            }
+        }
+
+        private void all(Predicate<Packet> which) {
+            for (int i = 0; i < packets.size();) {
+                Packet p = packets.get(i);
+                if (which.test(p) && !frozen.contains(p.to)) {
+                    packets.remove(i);
+                    arrive(p);
+                    i = 0;
+                } else {
+                    i++;
+                }
+            }
+        }
+
+        private void peace() {
+            for (int i = 0; i < 60; i++) {
+                all(p -> true);
+                for (String n : List.copyOf(nodes.keySet())) {
+                    if (!frozen.contains(n)) {
+                        tick(n, STEP);
+                        all(p -> true);
+                    }
+                }
+            }
+        }
+
+        /** Decided values of one life are one sequence, each text beginning with the one before. */
+        private void saw(Value v) {
+            TreeMap<Long, Value> life = seen.computeIfAbsent(v.epoch(), e -> new TreeMap<>());
+            Value other = life.putIfAbsent(v.version(), v);
+            if (other != null && !other.equals(v)) {
+                faults.add(other + " and " + v);
+            }
+            Value before = null;
+            for (Value one : life.values()) {
+                if (before != null && !one.text().startsWith(before.text())) {
+                    faults.add(one + " does not follow " + before);
+                }
+                before = one;
+            }
+        }
+
+        Value last() {
+            return seen.lastEntry().getValue().lastEntry().getValue();
+        }
+    }
+
+    private static final String BEGIN = "; peace; a+0; peace; ";
+
+    /** Electors; the script; which results are told by its end; the text and the electors after peace. */
+    private static final String[][] GUARDS = {
+        {"one list, not two, while electors change: two moves that remove different ones", "abcd",
+            "up abcdpq" + BEGIN + "p=bcd; ask p bcd; put p d; q=abc; ask q abc; put q ab; again p; ask p cd; "
+            + "put p cd", "", "0", ""},
+        {"old electors end over what is not known as decided", "a",
+            "up abp" + BEGIN + "b=b; ask b a; lose; again b; ask b a; lose; again b; ask b a; lose; again b; "
+            + "ask b a; lose; p+x; PREPARE p a; REFUSE a p; rest p; ask p a; put p a", "p+x DECIDED",
+            "0x", "b"},
+        {"a step begins while another is under way", "a",
+            "up abcp" + BEGIN + "b=bc; ask b ac; lose; again b; ask b ac; lose; again b; ask b ac; put b c; "
+            + "lose; p+x; PREPARE p a; REFUSE a p; rest p; ask p a; put p a", "p+x DECIDED", "0x", "bc"},
+        {"what is decided raises no promise: the only one left forgets it for an older try", "abc",
+            "up abcpq" + BEGIN + "p+x; ask p ab; q+y; ask q ab; put q ab; DECIDED q c; ACCEPT p c; down pq; "
+            + "lose; up ab; lose; c!abc", "q+y DECIDED", "0y", "abc"},
+        {"a blind one joins a life whose try does not rest on its promise", "abc",
+            "up abcpq" + BEGIN + "up bcpq; lose; p!abc; ask p ab; rest p; q!abc; ask q bc; rest q; up c; "
+            + "PREPARE p c; put p ac; put q ab; b+y", "q!abc DECIDED", "y", "abc"},
+        {"a late vote of a run that is over takes the place of the next run's", "abc",
+            "up abcp" + BEGIN + "p+x; copy PREPARE p c; up c; see c ab; PREPARE p c; last PROMISE c p; "
+            + "PROMISE c p; ask p a; put p ac", "p+x DECIDED", "0x", "abc"},
+        {"a life begins in the epoch of one that is known", "abc",
+            "up abcp" + BEGIN + "up abc; lose; again abc; among abc; again abc; among abc; p+x; ask p abc; "
+            + "put p abc; ask p abc; put p abc", "p+x DECIDED", "x", "abc"},
+        {"a life begins in an epoch that is known by a ballot alone, and above all runs", "abc",
+            "up abcp" + BEGIN + "up ab; lose; p!abc; peace; up abc; lose; p+z; PREPARE p a; lose; "
+            + "again abc; among abc; again abc; among abc; a+x; among abc; a+y; among abc", "p!abc DECIDED, a+x DECIDED, "
+            + "a+y DECIDED", "xyz", "abc"},
+        {"a life begins below the epoch of one that nobody asked knows", "abc",
+            "up abcp" + BEGIN + "freeze p; up abc; lose; again abc; among abc; again abc; among abc; a+x; "
+            + "among abc; thaw p", "a+x DECIDED", "x", "abc"},
+        {"who founds is no elector and alone in knowing the value", "abc",
+            "up abcpq" + BEGIN + "up abcq; lose; p!abc", "", "0", "abc"},
+    };
+
+    @Test
+    void noScriptBreaksWhatIsPromised() {
+        for (String[] row : GUARDS) {
+            Play play = new Play(row[1]).run(row[2]);
+            String told = String.join(", ", play.told.subList(1, play.told.size()));
+            play.run("peace; peace");
+            assertEquals(List.of(), play.faults, row[0]);
+            assertEquals(row[3], told, row[0]);
+            assertEquals(play.asked, play.told.size() + (play.nodes.containsKey("p") ? 0 : 1),
+                row[0] + play.told);
+            assertEquals(row[4], play.last().text(), row[0] + play.told);
+            String now = String.join("", play.last().electors());
+            assertTrue(row[5].isEmpty() || row[5].equals(now), row[0] + " electors " + now);
+        }
+    }
+}
