--- a/src/test/java/maplespread/agreement/ScriptsTest.java
+++ b/src/test/java/maplespread/agreement/ScriptsTest.java
@@ -21,16 +21,17 @@
  * {@code last KIND a b} the newest, {@code copy KIND a b} leaves one under way; {@code ask p ab} stands for
  * PREPARE and its answers, {@code put p ab} for ACCEPT, {@code see c ab} for ASK; {@code lose} drops all;
  * {@code among ab} has all between these arrive; {@code first 3} the oldest three; {@code freeze p}, {@code
- * thaw p}; {@code peace}: all arrives and time goes on until all are told.
+ * thaw p}, whose words wait; {@code peace}: all arrives and time goes on until all are told.
  */
 class ScriptsTest {
+    private static final int EVERY = Integer.getInteger("every", 8);
     private static final long STEP = 100_000, FAR = 1_000_000_000_000L;
 
     private record Packet(String to, Word word) { }
 
     /** One play of a script. */
     private static final class Play {
-        final List<String> electors;
+        final List<String> file;
         final Map<String, Agreement> nodes = new TreeMap<>();
         final Map<String, Long> times = new TreeMap<>();
         final List<Packet> packets = new ArrayList<>();
@@ -38,10 +39,11 @@
         final TreeMap<Long, TreeMap<Long, Value>> seen = new TreeMap<>();
         final List<String> told = new ArrayList<>(), faults = new ArrayList<>();
         long boots = 1000, wall = 1_000_000;
-        int asked;
+        final TreeMap<String, Integer> waiting = new TreeMap<>();    // for results, in runs that are up
+        int left;
 
         Play(String electors) {
-            this.electors = List.of(electors.split(""));
+            file = List.of(electors.split(""));
         }
 
         Play run(String script) {
@@ -49,7 +51,10 @@
                 String[] s = step.split(" ");
                 switch (s[0]) {
                     case "up" -> each(s[1], this::start);
-                    case "down" -> each(s[1], nodes::remove);
+                    case "down" -> each(s[1], n -> {
+                        nodes.remove(n);
+                        waiting.remove(n);
+                    });
                     case "again" -> each(s[1], n -> {
                         tick(n, STEP);
                         tick(n, STEP);
@@ -57,7 +62,7 @@
                     case "rest" -> each(s[1], n -> tick(n, STEP));
                     case "lose" -> packets.clear();
                     case "first" -> {
-                        for (int n = Integer.parseInt(s[1]); n > 0 && !packets.isEmpty(); n--) {
+                        for (left = Integer.parseInt(s[1]); left > 0 && !packets.isEmpty(); left--) {
                             arrive(packets.remove(0));
                         }
                     }
@@ -104,9 +109,10 @@
             Agreement node = nodes.get(step.substring(0, 1));
             String with = step.substring(2);
             long at = times.get(step.substring(0, 1));
-            asked++;
+            waiting.merge(step.substring(0, 1), 1, Integer::sum);
             java.util.function.Consumer<Result> done = r -> {
                 told.add(step + ' ' + r.kind());
+                waiting.merge(step.substring(0, 1), -1, (a, b) -> a + b == 0 ? null : a + b);
                 if (r.kind() == Result.Kind.DECIDED) {
                     saw(r.value());
                 }
@@ -120,8 +126,9 @@
         }
 
         private void start(String name) {
-            AgreementSettings set = new AgreementSettings(name, electors, STEP, STEP);
+            AgreementSettings set = new AgreementSettings(name, file, STEP, STEP);
             times.putIfAbsent(name, 0L);
+            waiting.remove(name);
             nodes.put(name, new Agreement(set, ++boots, boots, times.get(name), new AgreementSink() {
                 @Override public void send(String to, Word word) {
                     packets.add(new Packet(to, word));
@@ -150,7 +157,7 @@
         private void all(Predicate<Packet> which) {
             for (int i = 0; i < packets.size();) {
                 Packet p = packets.get(i);
-                if (which.test(p) && !frozen.contains(p.to)) {
+                if (which.test(p) && !frozen.contains(p.to) && !frozen.contains(p.word.from())) {
                     packets.remove(i);
                     arrive(p);
                     i = 0;
@@ -161,7 +168,7 @@
         }
 
         private void peace() {
-            for (int i = 0; i < 60; i++) {
+            for (int i = 0; i < 2 || i < 60 && !settled(); i++) {
                 all(p -> true);
                 for (String n : List.copyOf(nodes.keySet())) {
                     if (!frozen.contains(n)) {
@@ -172,6 +179,13 @@
             }
         }
 
+        private boolean settled() {
+            List<Agreement> up = nodes.keySet().stream().filter(n -> !frozen.contains(n)).map(nodes::get)
+                .toList();
+            return frozen.containsAll(waiting.keySet()) && up.stream().allMatch(n -> !n.blind()
+                && n.known() != null && n.known().equals(last()) && n.electors().size() == 1);
+        }
+
         /** Decided values of one life are one sequence, each text beginning with the one before. */
         private void saw(Value v) {
             TreeMap<Long, Value> life = seen.computeIfAbsent(v.epoch(), e -> new TreeMap<>());
@@ -188,6 +202,10 @@
             }
         }
 
+        String electors() {
+            return String.join("", new java.util.TreeSet<>(last().electors()));
+        }
+
         Value last() {
             return seen.lastEntry().getValue().lastEntry().getValue();
         }
@@ -221,8 +239,8 @@
             + "put p abc; ask p abc; put p abc", "p+x DECIDED", "x", "abc"},
         {"a life begins in an epoch that is known by a ballot alone, and above all runs", "abc",
             "up abcp" + BEGIN + "up ab; lose; p!abc; peace; up abc; lose; p+z; PREPARE p a; lose; "
-            + "again abc; among abc; again abc; among abc; a+x; among abc; a+y; among abc", "p!abc DECIDED, a+x DECIDED, "
-            + "a+y DECIDED", "xyz", "abc"},
+            + "again abc; among abc; again abc; among abc; a+x; among abc; a+y; among abc",
+            "p!abc DECIDED, a+x DECIDED, a+y DECIDED", "xyz", "abc"},
         {"a life begins below the epoch of one that nobody asked knows", "abc",
             "up abcp" + BEGIN + "freeze p; up abc; lose; again abc; among abc; again abc; among abc; a+x; "
             + "among abc; thaw p", "a+x DECIDED", "x", "abc"},
@@ -235,14 +253,48 @@
         for (String[] row : GUARDS) {
             Play play = new Play(row[1]).run(row[2]);
             String told = String.join(", ", play.told.subList(1, play.told.size()));
-            play.run("peace; peace");
+            play.run("peace");
             assertEquals(List.of(), play.faults, row[0]);
             assertEquals(row[3], told, row[0]);
-            assertEquals(play.asked, play.told.size() + (play.nodes.containsKey("p") ? 0 : 1),
-                row[0] + play.told);
+            assertEquals(Map.of(), play.waiting, row[0] + play.told);
             assertEquals(row[4], play.last().text(), row[0] + play.told);
-            String now = String.join("", play.last().electors());
+            String now = play.electors();
             assertTrue(row[5].isEmpty() || row[5].equals(now), row[0] + " electors " + now);
         }
     }
+
+    /** What is begun; what befalls it after each number of words; the text and the electors after peace. */
+    private static final String[][] MOVES = {
+        {"p=cde", "up a", "0", "cde"}, {"p=cde", "up b; q+y", "0y", "cde"}, {"p=cde", "up c", "0", "cde"},
+        {"p=cde", "up d; q+y", "0y", "cde"}, {"p=cde; q+y", "up e", "0y", "cde"},
+        {"p=cde", "up p; q=cde", "0", "cde"}, {"p=abd", "down c; up c; q+y", "0y", "abd"},
+        {"p=abd; peace; p=abc", "up c; q+y", "0y", "abc"}, {"p=abd; peace; up c; p=abc", "up a", "0", "abc"},
+        {"p=bcd", "freeze p; q=cde; peace; thaw p", "0", ""},
+        {"p=cde", "freeze p; q=abd; peace; up c; thaw p", "0", ""},
+        {"p=cde", "freeze p; q=abcd; peace; q+x; peace; up d; peace; thaw p; q+y", "0xy", ""},
+        {"p=acde; q=bcd", "up c", "0", ""}, {"p=cde; q=abe", "freeze a; peace; thaw a; up b", "0", ""},
+    };
+
+    /** Lists that move by more than one, with a restart, a newcomer of the same name, a frozen proposer. */
+    @Test
+    void electorsMoveWhateverBefallsThemAtWhicheverWord() {
+        int plays = 0;
+        for (String[] row : MOVES) {
+            int left = 0;
+            for (int words = 0; left == 0; words += EVERY, plays++) {
+                String at = row[0] + ", " + words + " words, " + row[1];
+                Play play = new Play("abc").run("up abcdepq" + BEGIN + row[0] + "; first " + words);
+                left = play.left;                                // more than there were: the last one
+                play.run(row[1] + "; peace");
+                assertEquals(List.of(), play.faults, at);
+                String now = play.electors();
+                assertTrue(row[3].isEmpty() || row[3].equals(now), at + ": electors " + now + play.told);
+                assertEquals(row[2], play.last().text(), at);
+                assertTrue(play.waiting.isEmpty() && play.settled()
+                    && play.told.stream().allMatch(t -> t.endsWith("DECIDED")), at + play.told);
+            }
+        }
+        System.out.println(plays + " plays");
+        assertTrue(plays * EVERY > 40 * MOVES.length, plays + " plays");
+    }
 }
