Releases: a drain does not begin after its halt, and accidents in a row halt as soon

A leave from before a halt still stood when its holder asked for it, so that a drain whose order was on its way began after the halt; an operator's quiesce with such a leave did too. Both are asked of the newest state now (Commands.stands), and an answer older than 500 ms counts for nothing. Consoles that have heard no majority for 3 s stop asking hands for drains, and a leave called back by hand is free only after 4 s. A halt's call has places of its own.

--- a/src/main/java/maplespread/release/Commands.java
+++ b/src/main/java/maplespread/release/Commands.java
@@ -187,10 +187,25 @@
         };
     }
 
-    /** Throws why a drain without leave is refused; returns where nothing is on, or the member has leave. */
+    /**
+     * Whether this leave stands and is not called back: one of a release is by a halt, and where the release
+     * goes another way than the leave was for.
+     */
+    public static boolean stands(State now, String member, long run, long number) {
+        Leave l = now.leaves().get(member);
+        return l != null && l.number() == number && l.run() == run && (l.release().isEmpty()
+            || now.halt() == null && now.on() && l.why().equals(now.release().moves().name()));
+    }
+
+    /** Throws why a drain is refused; returns where nothing is on, or the member has leave that stands. */
     public static void checkDrain(State now, String member) throws ReleaseRefused {
         boolean bound = now.on() || !now.inForce().isEmpty() || now.halt() != null;
-        if (bound && !now.leaves().containsKey(member)) {
+        Leave l = now.leaves().get(member);
+        if (l != null && !stands(now, member, l.run(), l.number())) {
+            throw refused(now.halt() != null ? Reason.HALTED : Reason.STALE, "the leave of " + member
+                + " is called back");
+        }
+        if (bound && l == null) {
             throw refused(Reason.NO_LEAVE, member + " has no leave to be out, and "
                 + (now.on() ? "release " + now.release().plan().id() + " is on" : "limits are on"));
         }
--- a/src/main/java/maplespread/release/Driver.java
+++ b/src/main/java/maplespread/release/Driver.java
@@ -157,7 +157,8 @@
         }
         for (Limits l : state.inForce()) {
             String over = l.exceeded(state.members(), state.out());
-            if (!over.isEmpty() && waited("over " + over, set.missMs, false)) {
+            // Whatever the limit and the count: one more accident must not begin the wait anew.
+            if (!over.isEmpty() && waited("over", set.missMs, false)) {
                 return "limit exceeded: " + over;
             }
         }
--- a/src/main/java/maplespread/release/client/Releases.java
+++ b/src/main/java/maplespread/release/client/Releases.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.Closeable;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -59,18 +60,21 @@
     private static final long PROPOSE_MS = 500;                  // less than a driver takes for a standstill
     private static final long LOOK_MS = 250;
     private static final long CONTACT_MS = 3_000;                // a majority reached so long ago is not sure
+    private static final long HAND_MS = CONTACT_MS + 1_000;      // after that no console asks for a drain
     private static final int CALLS = 4;
     private static final Gson GSON = new GsonBuilder().setPrettyPrinting().create();
     private final String self;
     private final Fleet fleet;
     private final Workers workers;
     private final Semaphore places = new Semaphore(CALLS);
+    private final Semaphore halts = new Semaphore(CALLS);        // a halt waits behind no other call
     private final Thread thread;
     private final Object turn = new Object();                    // of drains and of what takes them back
     private long recalled;                                       // no drain by a leave up to this one
     private boolean forced;                                      // drained without leave, by an operator
     private final Set<Long> back = new HashSet<>();              // leaves that the driver is to hear are back
     private final Map<String, String> wanted = new TreeMap<>();  // by an operator's hand: worker -> what
+    private Map<Long, Long> backSince = new HashMap<>();         // leaves called back by hand -> since when
     private volatile Command limits;                             // to be proposed; null: done
     private volatile boolean majority;
     private volatile long contactAt;
@@ -200,7 +204,12 @@
         synchronized (wanted) {
             wanted.clear();
         }
+        Map<Long, Long> before = backSince;
+        backSince = new HashMap<>();
         for (Order order : next.orders()) {
+            if (order instanceof Order.Recall) {
+                backSince.put(order.leave(), before.getOrDefault(order.leave(), now()));
+            }
             if (order.member().equals(self)) {
                 ofThisOne(register, order);
             } else {
@@ -210,17 +219,21 @@
         return next.again();
     }
 
-    /** Whether the leave that an order is about stands, as a majority knows it at this moment. */
-    private boolean stands(Register register, Order order, long waitMs) {
-        State newest = newest(register, waitMs);
-        State.Leave leave = newest == null ? null : newest.leaves().get(order.member());
-        return leave != null && leave.number() == order.leave() && leave.run() == order.run();
+    /**
+     * Whether a drain may begin, as a majority knows it at this moment. An answer that is older than the time
+     * it may take counts for nothing: one that stood still after it might drain long after a halt.
+     */
+    private boolean stands(Register register, Order order) {
+        long asked = now();
+        State newest = newest(register, PROPOSE_MS);
+        return newest != null && Commands.stands(newest, order.member(), order.run(), order.leave())
+            && now() - asked <= PROPOSE_MS;
     }
 
     /** A drain, or what takes one back, of this very instance. */
     void ofThisOne(Register register, Order order) {
         boolean drain = order instanceof Order.Drain;
-        if (order.run() != fleet.run() || drain && !stands(register, order, PROPOSE_MS)) {
+        if (order.run() != fleet.run() || drain && !stands(register, order)) {
             return;
         }
         synchronized (turn) {                                    // a drain may not pass what takes it back
@@ -245,14 +258,17 @@
         boolean drain = order instanceof Order.Drain;
         if (!workers.byRegistry()) {
             View.Member m = fleet.view().member(order.member());
-            synchronized (wanted) {
-                wanted.put(order.member(), drain ? "drain" : "serve");
+            if (!drain || majority && now() - contactAt <= CONTACT_MS) {
+                synchronized (wanted) {                          // what may be over is asked of nobody
+                    wanted.put(order.member(), drain ? "drain" : "serve");
+                }
             }
-            if (!drain && m != null && m.serving()) {
+            // Not before every console that has not heard of it has stopped to ask for the drain.
+            if (!drain && m != null && m.serving() && now() - backSince.get(order.leave()) >= HAND_MS) {
                 taken(order.leave());                            // who drains it later has no leave
             }
         } else if (drain) {
-            workers.drain(order, () -> stands(register, order, PROPOSE_MS));
+            workers.drain(order, () -> stands(register, order));
         } else {
             workers.recall(order, () -> taken(order.leave()));
         }
@@ -274,7 +290,10 @@
                 Plan plan = Plan.read(ask.body());
                 return told(put(r, change(Commands.begin(by(ask), plan, fleet.view())), CALL_MS));
             }),
-            "POST /admin/release/halt", act((ask, act) -> Commands.halt(by(ask), ask.query("why"))),
+            "POST /admin/release/halt", waiting(halts, (r, ask) -> {
+                need(ask, "why");
+                return told(put(r, change(Commands.halt(by(ask), ask.query("why"))), CALL_MS));
+            }),
             "POST /admin/release/go-on", act((ask, act) -> Commands.goOn(by(ask), ask.query("why"), act)),
             "POST /admin/release/roll-back",
             act((ask, act) -> Commands.rollBack(by(ask), ask.query("why"), act)),
@@ -306,8 +325,12 @@
     }
 
     private Call waiting(Put put) {
+        return waiting(places, put);
+    }
+
+    private Call waiting(Semaphore free, Put put) {
         return ask -> {
-            if (!places.tryAcquire()) {
+            if (!free.tryAcquire()) {
                 return told(503, new CallRefused(CallRefused.Reason.TOO_MANY,
                     "other calls wait for the fleet"));
             }
@@ -322,7 +345,7 @@
             } catch (FleetError e) {
                 return told(409, e);
             } finally {
-                places.release();
+                free.release();
             }
         };
     }
@@ -377,6 +400,8 @@
                     return told(409, r.why());
                 }
                 held = state(r.value()).leaves().get(self);
+            } else if (held != null) {
+                Commands.checkDrain(known, self);                // its leave may be called back
             }
             synchronized (turn) {
                 if (bound && (held == null || held.number() <= recalled)) {
--- a/src/test/java/maplespread/release/ReleaseTest.java
+++ b/src/test/java/maplespread/release/ReleaseTest.java
@@ -182,6 +182,52 @@
             .reduce((a, b) -> a + " " + b).get());
     }
 
+    /** Which members a plan names, in which steps; and which of two more that are out a limit refuses. */
+    @Test
+    void plansNameAndOrderAndLimitsCountByZoneKindAndCell() throws ReleaseRefused {
+        for (int i = 0; i < 4; i++) {
+            Member m = fleet.get("w" + i);
+            fleet.put("w" + i, new Member(m.id(), m.address(), m.role(), m.zone(), i < 3 ? "k" : "big", "c"
+                + i / 2, 1, "1", Status.SERVING, 10, true));
+        }
+        does(Commands.limits("op", new Limits(2, 4, Limits.ANY, Limits.ANY, 0, 0, 9_000, 1, 1, 9)));
+        String table = """
+            dispatchers:false,zones:['z1']                 [[w1], [w3]]
+            dispatchers:false,kinds:['big']                [[w3]]
+            dispatchers:false,cells:['c0']                 [[w0], [w1]]
+            dispatchers:false,order:['zone'],steps:[9]     [[w0, w2], [w1, w3]]
+            dispatchers:false,order:['kind'],steps:[2]     [[w3], [w0, w1], [w2]]
+            dispatchers:false,order:['cell','zone'],steps:[9] [[w0, w1], [w2, w3]]
+            first:'dispatchers',steps:[2,9]                [[d0, d1], [d2], [w0, w1, w2, w3]]
+            workers:false,names:['d2','d0']                [[d0], [d2]]
+            """;
+        for (String line : table.lines().toList()) {
+            String[] cell = line.split(" {2,}| (?=\\[\\[)");
+            String more = "{id:'p',workers:true,dispatchers:true," + cell[0] + "}";
+            Plan p = Plan.read(more.replace(cell[0].contains("workers:false") ? "workers:true," : "~", "")
+                .replace(cell[0].contains("dispatchers:false") ? "dispatchers:true," : "~", ""));
+            assertEquals(cell[1], Commands.begin("op", p, view()).apply(state).release().steps().toString(),
+                line);
+        }
+        does(Commands.changeMembers("d0", state.calm(), new ArrayList<>(fleet.values())));
+        // Limits of workers over all, of a zone, of a kind; whether w0 may go while w1 is out, and w2 is.
+        double[][] limits = {{1, 9, 9, 0, 0}, {2, 9, 9, 1, 1}, {9, 1, 9, 1, 0}, {9, 0.5, 9, 1, 0},
+            {9, 9, 1, 0, 0}, {9, 9, 0.7, 1, 1}};
+        for (double[] l : limits) {
+            does(Commands.limits("op", new Limits(9, l[0], l[1], l[2], 0, 0, 9_000, 1, 1, 9)));
+            for (int other = 1; other <= 2; other++) {
+                set("w" + other, 1, "1", Status.DOWN);
+                Command c = Commands.leaveByHand("op", "w0", state.calm(), view(), "");
+                if (l[2 + other] == 0) {
+                    refused(Reason.LIMIT, c);
+                } else {
+                    c.apply(state);
+                }
+                set("w" + other, 1, "1", Status.SERVING);
+            }
+        }
+    }
+
     @Test
     void backIsALaterRunThatServesWarmAndAsWanted() throws ReleaseRefused {
         begun();
@@ -300,14 +346,18 @@
         assertEquals(state, State.read(state.text()));
     }
 
+    private static Command drainOf(String member) {
+        return now -> {
+            Commands.checkDrain(now, member);
+            return now;
+        };
+    }
+
     @Test
     void whatIsLateIsRefusedAndADrainWithoutLeaveNeedsAWord() throws ReleaseRefused {
         Commands.checkDrain(state, "d0");                                                // nothing is on
         begun();
-        refused(Reason.NO_LEAVE, now -> {
-            Commands.checkDrain(now, "d0");
-            return now;
-        });
+        refused(Reason.NO_LEAVE, drainOf("d0"));
         refused(Reason.NO_LEAVE, Commands.force("op", "d0", " "));
         does(Commands.force("op", "d0", "fire"));
         assertEquals("fire", state.log().get(state.log().size() - 1).why());
@@ -323,6 +373,17 @@
         }
         refused(Reason.HALTED, Commands.leave("d0", "w0", state.calm(), view()));
         does(Commands.goOn("op", "", state.acts()));
+        leave("w0");
+        Commands.checkDrain(state, "w0");
+        State rolls = Commands.rollBack("op", "", state.acts()).apply(state);
+        does(Commands.halt("op", "three"));
+        one = state.acts();
+        refused(Reason.HALTED, drainOf("w0"));                   // leave from before is no leave to begin now
+        does(Commands.goOn("op", "", state.acts()));
+        State goesOn = state;
+        state = rolls;
+        refused(Reason.STALE, drainOf("w0"));
+        state = goesOn;
         assertEquals(state, Commands.haltByItself("d1", "late", one).apply(state));
     }
 
@@ -467,6 +528,22 @@
         assertTrue(state.halt().why().startsWith("limit exceeded"), String.valueOf(state.halt()));
     }
 
+    /** One accident more each moment must not put the halt off. */
+    @Test
+    void accidentsThatGoOnHaltAsSoon() throws ReleaseRefused {
+        begun();
+        Driver d = driver(0);
+        long t = 0;
+        for (String id : List.of("d1", "w0", "w1", "w2", "w3", "d2")) {      // one in 400 ms, told by others
+            set(id, 1, "1", Status.DOWN);
+            does(Commands.observe("d1", state.calm(), List.of(id), List.of()));
+            drive(d, t, t + 300, true);
+            t += 400;
+        }
+        assertTrue(state.halt() != null && state.halt().why().startsWith("limit exceeded"),
+            String.valueOf(state.halt()));
+    }
+
     @Test
     void aTimeWithoutMajorityHaltsUnlessOthersHadOne() throws ReleaseRefused {
         begun();
--- a/src/test/java/maplespread/release/client/ReleasesTest.java
+++ b/src/test/java/maplespread/release/client/ReleasesTest.java
@@ -49,27 +49,46 @@
             do {
                 first = register.change(Change.READ, 1000);
             } while (first.kind() != Result.Kind.DECIDED);
-            // What is agreed; the order: drain or recall, its run and leave; whether it is out after that.
-            Object[][] table = {{"{}", true, 7, 1, false}, {"{'n0':{'number':1,'run':7}}", true, 6, 1, false},
-                {"{'n0':{'number':2,'run':7}}", true, 7, 1, false},
-                {"{'n0':{'number':2,'run':6}}", true, 7, 2, false},
-                {"{'n1':{'number':2,'run':7}}", true, 7, 2, false},
-                {"{'n0':{'number':2,'run':7}}", true, 7, 2, true}, {"{}", false, 6, 2, true},
-                {"{}", false, 7, 2, false}, {"{'n0':{'number':2,'run':7}}", true, 7, 2, false},
-                {"{'n0':{'number':3,'run':7}}", true, 7, 3, true}};
-            for (int i = 0; i < table.length; i++) {
-                Object[] row = table[i];
-                String text = State.read("{'leaves':" + row[0] + "}").text();
+            // Leaves agreed: member, number, run, for what; halted; the order: drain or recall, its run and
+            // leave; whether it is out after that. The release is on its way to the new version.
+            String table = """
+                -              -      drain  7 1 false
+                n0:1:7:        -      drain  6 1 false
+                n0:2:7:        -      drain  7 1 false
+                n0:2:6:        -      drain  7 2 false
+                n1:2:7:        -      drain  7 2 false
+                n0:2:7:        -      drain  7 2 true
+                -              -      recall 6 2 true
+                -              -      recall 7 2 false
+                n0:2:7:        -      drain  7 2 false
+                n0:3:7:RUNNING halted drain  7 3 false
+                n0:3:7:ROLLING_BACK - drain  7 3 false
+                n0:3:7:RUNNING -      drain  7 3 true
+                -              -      recall 7 3 false
+                n0:4:7:        halted drain  7 4 true
+                """;
+            for (String line : table.lines().toList()) {
+                String[] row = line.trim().split(" +");
+                String text = state(row[0], row[1].equals("halted"));
                 register.change(v -> Sections.write(v.text(), "release", text), 1000);
-                int run = (int) row[2];
-                int leave = (int) row[3];
-                releases.ofThisOne(register, (boolean) row[1] ? new Order.Drain("n0", run, leave)
+                int run = Integer.parseInt(row[3]);
+                int leave = Integer.parseInt(row[4]);
+                releases.ofThisOne(register, row[2].equals("drain") ? new Order.Drain("n0", run, leave)
                     : new Order.Recall("n0", run, leave));
-                assertEquals(row[4], out, "row " + i);
+                assertEquals(Boolean.parseBoolean(row[5]), out, line);
             }
         }
     }
 
+    private static String state(String leave, boolean halted) {
+        String[] of = leave.split(":", -1);
+        return State.read(("{'release':{'plan':{'id':'r','from':'','to':'','dispatchers':true,'workers':false,"
+            + "'first':'workers','steps':[1]},'moves':'RUNNING','steps':[],'open':0},'leaves':{"
+            + (of.length < 4 ? "" : "'" + of[0] + "':{'number':" + of[1] + ",'run':" + of[2] + ",'release':'"
+            + (of[3].isEmpty() ? "" : "r") + "','why':'" + of[3] + "'}") + "}"
+            + (halted ? ",'halt':{'number':1,'by':'op','why':'x'}" : "") + "}").replace('\'', '"')).text();
+    }
+
     private Releases.Fleet fleet(Register register) {
         return new Releases.Fleet() {
             @Override public Register register() {
