Shutdown: a request that comes while its connection ends is read whole and answered

A resting connection was told to end by shutting its input after a look: of a request in pieces that came in between, the first piece was read and the rest never, and the leg closed without an answer (ShutdownTest, HAS_READ with 1 byte, failed each time). The leg's own thread ends it now, between requests and with nothing unread; it looks every second, every 200 ms once the process ends.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -53,6 +53,7 @@
     private static final long LIST_MS = 1500;                    // for the list, where another one serves
     private static final long SWIFT_MS = 500;                    // quiet so long, a connection may end
     private static final long QUIET_MS = 50;                     // between looks for these
+    private static final long AGAIN_MS = 250;                    // whose clients left may have new ones so soon
     private static final long PART_MS = 1000;                    // of a drain, then this is enough:
     private static final long LATE_MS = 200;
     private static final long LAST_MS = 100;                     // for the last answers' way
@@ -344,7 +345,8 @@
             } else {
                 Thread.sleep(config.times().acceptMs());
             }
-            while (listener.size() > 0 && System.nanoTime() - start < config.times().holdMs() * ms) {
+            while (listener.wanted(relieved ? 0 : AGAIN_MS)
+                    && System.nanoTime() - start < config.times().holdMs() * ms) {
                 if (relieved) {
                     listener.endQuiet(SWIFT_MS);
                 }
@@ -354,7 +356,7 @@
             // of a core it may not run for a tenth of a second between the two.
             listener.close();
             lifecycle.enter(Lifecycle.Phase.FINISHING);
-            while ((listener.endIdle() > 0 || !listener.closed()) && System.nanoTime() < end) {
+            while (!listener.over() && System.nanoTime() < end) {
                 Thread.sleep(10);
             }
             listener.failAll();
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -25,6 +25,7 @@
  */
 final class CallerLeg implements Runnable {
     private static final long POLL_MS = 1000;
+    private static final long PART_MS = 200;                     // the same while the process ends or drains
     private static final long SPARE_MS = 200;                    // for the one request of a leg turned away
     private static final long LINGER_MS = 2000;                  // enough to pass over 60 MB
     private static final double FULL_PAUSE_MS = 250;             // beyond capacity the module is not asked
@@ -41,6 +42,7 @@
     private volatile boolean useful;                             // it has brought a request worth an answer
     private volatile Answer current;                             // null where no whole request is held
     private volatile boolean ending;
+    private volatile boolean parts;                              // ends by itself, between requests
     private volatile boolean reading;                            // a request has begun and is not whole
     private boolean answered;
     private int faults;                                          // unacceptable requests in a row
@@ -92,7 +94,16 @@
         connection.cutIfStuck(times.legReadMs());
     }
 
-    /** Between requests a connection may be closed; a request that crosses it is sent again by its client. */
+    /**
+     * It is to end when it next waits for a request and nothing of one has come. Its own thread sees to that:
+     * what comes at this moment, in pieces too, is read whole and answered. To end its reading from outside
+     * would have the rest of such a request unread.
+     */
+    void part() {
+        parts = true;
+    }
+
+    /** Ends it at once, for its place is wanted; a request that crosses it is sent again by its client. */
     void end() {
         ending = true;
         connection.endReading();
@@ -214,7 +225,7 @@
 
     /** Whether the connection is to end after this request. */
     private boolean ends(HttpHead head) {
-        return turnAway || ending || faults >= MOST_FAULTS || !head.keepsAlive()
+        return turnAway || ending || parts || faults >= MOST_FAULTS || !head.keepsAlive()
             || service.parting().getAsBoolean();
     }
 
@@ -230,11 +241,22 @@
             return true;                                         // what has been read is taken, ending or not
         }
         long wait = turnAway ? SPARE_MS : useful ? times.legIdleMs() : times.legReadMs();
-        try {
-            return !(ending && !connection.pending()) && connection.fill(wait);
-        } catch (SocketTimeoutException quiet) {
-            return false;
+        long end = System.nanoTime() + wait * 1_000_000;
+        for (long left = wait; left > 0; left = (end - System.nanoTime()) / 1_000_000) {
+            if ((ending || parts) && !connection.pending()) {
+                return false;
+            }
+            try {
+                return connection.fill(Math.min(left, pollMs()));
+            } catch (SocketTimeoutException quiet) {
+                // look again
+            }
         }
+        return false;
+    }
+
+    private long pollMs() {
+        return service.serving().getAsBoolean() ? POLL_MS : PART_MS;
     }
 
     /**
@@ -308,7 +330,7 @@
     private void watch(Transaction t, Answer answer) throws IOException, InterruptedException {
         while (!answer.given()) {
             try {
-                if (!connection.fill(POLL_MS) && !ending) {
+                if (!connection.fill(pollMs()) && !ending) {
                     leave(t, answer);
                     return;
                 }
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -14,6 +14,8 @@
 /** Accepts client connections and keeps the set of caller legs within its size. */
 public final class Listener implements Runnable {
     private static final int POLL_MS = 100;
+    private static final int LAST_MS = 50;                       // in which nobody comes, then it closes
+    private static final long MOST_LAST_MS = 200;                // but no longer than this
     private static final int MOMENTS = 5;
     private static final int UNTRIED = 10;
     private final ServerSocket server;
@@ -21,6 +23,7 @@
     private final ExecutorService legThreads;
     private final ExecutorService spareThreads;                  // a few, for connections beyond the size
     private final Set<CallerLeg> legs = ConcurrentHashMap.newKeySet();
+    private volatile long jobsAt = System.nanoTime() - Long.MAX_VALUE / 2;   // the last leg's with any
     private volatile boolean closing;
     private volatile boolean closed;
 
@@ -34,13 +37,18 @@
 
     /**
      * The kernel's accept already counts as taken, so every connection is accepted and read, to the last one
-     * in the queue when the listener closes; what exceeds the size is answered with a refusal.
+     * in the queue when the listener closes; what exceeds the size is answered with a refusal. On a loaded
+     * machine a connection that is open for its client comes into the queue some milliseconds later: the last
+     * look waits for it, save where newcomers do not end, as beside the process that takes over.
      */
     @Override public void run() {
+        long since = 0;
         while (true) {
             boolean last = closing;
+            since = last && since == 0 ? System.nanoTime() : since;
+            boolean enough = last && System.nanoTime() - since > MOST_LAST_MS * 1_000_000;
             try {
-                server.setSoTimeout(last ? 1 : POLL_MS);
+                server.setSoTimeout(enough ? 1 : last ? LAST_MS : POLL_MS);
                 serve(server.accept());
             } catch (SocketTimeoutException none) {
                 if (last) {
@@ -68,6 +76,9 @@
             try {
                 leg.run();
             } finally {
+                if (leg.useful()) {
+                    jobsAt = System.nanoTime();
+                }
                 legs.remove(leg);
             }
         };
@@ -151,22 +162,31 @@
         return closed;
     }
 
-    /** Ends the legs that wait for a request; returns how many legs are left. */
-    public int endIdle() {
+    /** Whether a leg that brought jobs is there, or was so shortly ago: its like may be on their way. */
+    public boolean wanted(long ms) {
+        return !legs.isEmpty() || System.nanoTime() - jobsAt < ms * 1_000_000;
+    }
+
+    /**
+     * Has the legs end that wait for a request; whether none is left, and none can come. What is accepted
+     * last may come between the two looks, so the one at the listener is the first.
+     */
+    public boolean over() {
+        boolean last = closed;
         for (CallerLeg leg : legs) {
             if (leg.quiet()) {
-                leg.end();
+                leg.part();
             }
         }
-        return legs.size();
+        return last && legs.isEmpty();
     }
 
-    /** Ends the legs that have been quiet for so long, and of which nothing has come that is not answered. */
+    /** Has the legs end that have been quiet for so long. */
     public void endQuiet(long ms) {
         long before = System.nanoTime() - ms * 1_000_000;
         for (CallerLeg leg : legs) {
             if (leg.quiet() && leg.quietSince() - before < 0) {
-                leg.end();
+                leg.part();
             }
         }
     }
--- /dev/null
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -0,0 +1,365 @@
+package maplespread.net;
+
+import static maplespread.net.Loopback.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import maplespread.Lifecycle;
+import maplespread.Server;
+import maplespread.caller.Listener;
+import maplespread.caller.Service;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
+import maplespread.decision.Dispatch;
+import maplespread.facade.Dispatcher;
+import maplespread.figures.Figures;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpParser;
+import maplespread.net.Loopback.Peer;
+import maplespread.worker.Branches;
+import maplespread.worker.Links;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What becomes of requests that come at each instant of a connection's end. The sockets are real; the story
+ * stands between the listener and the system, and acts in the very moment of a step.
+ */
+class ShutdownTest {
+    private static final String REQUEST = "GET /ready HTTP/1.1\r\nHost: t\r\n\r\n";
+
+    /** Steps of the accepted side at which a story may act. */
+    enum Step { LOOKED, READS, HAS_READ, CLOSES, ACCEPTS, NONE_CAME }
+
+    private final AtomicReference<Step> awaited = new AtomicReference<>();
+    private final AtomicInteger passed = new AtomicInteger();
+    private volatile Runnable act = () -> { };
+    private final AtomicInteger bytesRead = new AtomicInteger();
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread t = new Thread(work);
+        t.setDaemon(true);
+        return t;
+    });
+    private volatile boolean parting;
+    private Peer worker;
+    private Door door;
+    private Listener listener;
+
+    private void at(Step step) {
+        if (awaited.get() == step && passed.decrementAndGet() < 0 && awaited.compareAndSet(step, null)) {
+            act.run();
+        }
+    }
+
+    /** Once, by whichever thread comes to that step after so many have. */
+    private void when(Step step, int after, Runnable what) {
+        act = what;
+        passed.set(after);
+        awaited.set(step);
+    }
+
+    /** Holds whoever comes to the step next. */
+    private final class Gate {
+        private final CountDownLatch reached = new CountDownLatch(1);
+        private final CountDownLatch opened = new CountDownLatch(1);
+
+        Gate(Step step, int after) {
+            when(step, after, () -> {
+                reached.countDown();
+                await(opened);
+            });
+        }
+
+        void reached() {
+            await(reached);
+        }
+
+        void open() {
+            opened.countDown();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS), "never came");
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** A socket of an accepted connection. */
+    private final class Watched extends Socket {
+        @Override public InputStream getInputStream() throws IOException {
+            return new FilterInputStream(super.getInputStream()) {
+                @Override public int read(byte[] b, int off, int len) throws IOException {
+                    at(Step.READS);
+                    int n = in.read(b, off, len);
+                    bytesRead.addAndGet(Math.max(0, n));
+                    at(Step.HAS_READ);
+                    return n;
+                }
+
+                @Override public int available() throws IOException {
+                    int n = in.available();
+                    at(Step.LOOKED);
+                    return n;
+                }
+            };
+        }
+
+        @Override public void close() throws IOException {
+            at(Step.CLOSES);
+            super.close();
+        }
+    }
+
+    private final class Door extends ServerSocket {
+        volatile int waited;                                     // in vain, last
+
+        Door() throws IOException {
+            super(0, 50, InetAddress.getLoopbackAddress());
+        }
+
+        @Override public Socket accept() throws IOException {
+            Watched came = new Watched();
+            at(Step.ACCEPTS);
+            try {
+                implAccept(came);
+            } catch (SocketTimeoutException none) {
+                waited = getSoTimeout();
+                at(Step.NONE_CAME);
+                throw none;
+            }
+            return came;
+        }
+    }
+
+    @BeforeEach void open() throws Exception {
+        worker = new Peer(call -> { });
+        Config config = ConfigReader.read(Loopback.config(worker.address(), worker), Map.of());
+        Figures figures = new Figures();
+        Dispatcher dispatcher = new Dispatcher(config.settings(), 1, false);
+        Links links = new Links(() -> config, config::sizes);
+        Service service = new Service(() -> config, dispatcher, new Branches(() -> config, links, dispatcher,
+            figures), threads, config::sizes, figures, () -> !parting, () -> null, () -> parting,
+            () -> Long.MAX_VALUE, null);
+        door = new Door();
+        listener = new Listener(door, service, threads, threads);
+        threads.execute(listener);
+    }
+
+    @AfterEach void close() throws IOException {
+        listener.close();
+        until("the listener's end", listener::closed);
+        threads.shutdownNow();
+        worker.close();
+    }
+
+    private HttpConnection client() throws IOException {
+        return HttpConnection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+            door.getLocalPort()), Loopback.LIMIT_MS);
+    }
+
+    private static void send(HttpConnection link, String text) {
+        try {
+            link.send(text.getBytes());
+        } catch (IOException e) {
+            // closed: the story looks at what was read
+        }
+    }
+
+    /** The status of the answer; 0: the connection ended without a byte of one. */
+    private static int status(HttpConnection link) throws IOException {
+        HttpParser parser = HttpParser.responseOrError(1 << 16, (bytes, at, length) -> { });
+        try {
+            if (!link.fill(Loopback.LIMIT_MS)) {
+                return 0;
+            }
+        } catch (SocketTimeoutException silent) {
+            throw silent;
+        } catch (IOException reset) {
+            return 0;
+        }
+        link.receive(parser, Loopback.LIMIT_MS);
+        return parser.head().status();
+    }
+
+    /**
+     * A resting connection is told to end, and a request comes in that moment: whole, or in two pieces. It is
+     * answered, or nothing of it was read.
+     */
+    @Test
+    void whatComesWhileAConnectionEndsIsAnsweredOrUnread() throws Exception {
+        int[] firsts = {REQUEST.length(), 1, 9, REQUEST.length() - 1};
+        for (Step step : new Step[] {Step.LOOKED, Step.READS, Step.HAS_READ, Step.CLOSES}) {
+            for (int i = 0; i < 2 * firsts.length; i++) {
+                crossed(step, i < firsts.length, REQUEST.substring(0, firsts[i % firsts.length]));
+            }
+        }
+    }
+
+    /** {@code used}: the connection has brought a request before; {@code first}: the piece that crosses. */
+    private void crossed(Step step, boolean used, String first) throws IOException {
+        String what = step + (used ? ", used, " : ", fresh, ") + first.length();
+        parting = false;
+        Gate gate = step == Step.READS ? new Gate(step, used ? 1 : 0) : null;
+        try (HttpConnection client = client()) {
+            until(what, () -> listener.size() == 1);
+            if (used) {
+                send(client, REQUEST);
+                assertTrue(status(client) > 0, what);
+            }
+            int before = bytesRead.get();
+            parting = true;
+            switch (step) {
+                case LOOKED -> when(step, 0, () -> {              // the end rests on a look from before it
+                    send(client, first);
+                    until(what, () -> bytesRead.get() > before);
+                });
+                case CLOSES -> when(step, 0, () -> send(client, first));
+                case READS -> gate.reached();
+                default -> {
+                    gate = new Gate(step, 0);
+                    send(client, first);
+                    gate.reached();
+                }
+            }
+            listener.over();
+            if (gate != null) {
+                if (step == Step.READS) {
+                    send(client, first);
+                }
+                gate.open();
+            }
+            if (step == Step.CLOSES) {
+                until(what, () -> awaited.get() == null);
+            }
+            send(client, REQUEST.substring(first.length()));
+            assertTrue(status(client) > 0 || bytesRead.get() == before, what + ": lost, with "
+                + (bytesRead.get() - before) + " bytes of it read");
+        }
+        until(what + ": its end", () -> listener.over() || listener.size() == 0);
+    }
+
+    /** What the system has accepted and the program not yet is served, before the listener is over. */
+    @Test
+    void whatWaitsInTheQueueIsServedBeforeTheListenerCloses() throws Exception {
+        Gate gate = new Gate(Step.ACCEPTS, 0);
+        gate.reached();
+        HttpConnection[] waiting = new HttpConnection[20];
+        for (int i = 0; i < waiting.length; i++) {
+            waiting[i] = client();
+            send(waiting[i], REQUEST.substring(0, 1 + i % REQUEST.length()));
+        }
+        until("all are in the queue", () -> queued() == waiting.length);
+        listener.close();
+        assertTrue(!listener.closed());
+        gate.open();
+        until("it is closed", listener::closed);
+        parting = true;
+        for (int i = 0; i < waiting.length; i++) {
+            send(waiting[i], REQUEST.substring(1 + i % REQUEST.length()));
+            assertTrue(status(waiting[i]) > 0, "client " + i);
+            waiting[i].close();
+        }
+        until("all are over", () -> listener.over() || listener.size() == 0);
+    }
+
+    /** Stopped twice, in service, in a drain, or beside the process that takes over. */
+    @ParameterizedTest
+    @ValueSource(strings = {"serving", "drained", "relieved"})
+    void halfARequestAtTheStopIsAnswered(String from, @TempDir Path dir) throws Exception {
+        try (Peer done = new Peer(call -> {
+                call.open();
+                call.done("ok");
+            });
+             Loopback here = new Loopback(Loopback::console, done)) {
+            here.server.stop();                                  // its port is free: the story's
+            Config config = Loopback.console(ConfigReader.read(here.file, Map.of()), new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), here.server.port()), dir);
+            here.server = new Server(config, () -> config);
+            here.server.start();
+            Server old = here.server;
+            String job = Loopback.job("order", from, 4000);
+            try (Loopback.Client client = here.new Client(); Loopback.Client fresh = here.new Client()) {
+                assertEquals(200, client.status(Loopback.job("page", "before", 4000)));
+                client.send(job.substring(0, 40));
+                if (from.equals("drained")) {
+                    assertTrue(old.lifecycle().quiesce());
+                } else if (from.equals("relieved")) {
+                    here.server = new Server(config, () -> config);
+                    here.server.start();
+                }
+                fresh.send(job.replace(": " + from, ": fresh").substring(0, 1));
+                Thread stop = new Thread(old::stop);
+                stop.start();
+                old.lifecycle().await(Lifecycle.Phase.DRAINING);
+                old.stop();                                      // the second one leaves it to the first
+                old.lifecycle().await(Lifecycle.Phase.FINISHING);
+                assertEquals(200, client.status(job.substring(40)));
+                assertEquals(200, fresh.status(job.replace(": " + from, ": fresh").substring(1)));
+                client.close();
+                fresh.close();
+                stop.join(Loopback.LIMIT_MS);
+                assertEquals(Lifecycle.Phase.STOPPED, old.lifecycle().phase());
+            }
+        }
+    }
+
+    /** Connections to the door that the system holds as open, accepted or not. */
+    private int queued() {
+        String mine = String.format(":%04X ", door.getLocalPort());
+        try (Stream<String> v4 = Files.lines(Path.of("/proc/net/tcp"));
+             Stream<String> v6 = Files.lines(Path.of("/proc/net/tcp6"))) {
+            return (int) Stream.concat(v4, v6).map(l -> l.trim().split(" +", 4))
+                .filter(f -> (f[1] + ' ').endsWith(mine) && f[3].startsWith("01 ")).count();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** After the last look into the queue nothing that comes is read: its client may turn elsewhere. */
+    @Test
+    void whatComesAfterTheLastLookIsNotRead() throws Exception {
+        AtomicReference<HttpConnection> late = new AtomicReference<>();
+        Gate gate = new Gate(Step.ACCEPTS, 0);
+        gate.reached();
+        listener.close();
+        when(Step.NONE_CAME, 1, () -> {                          // the one before may have begun earlier
+            try {
+                late.set(client());
+                send(late.get(), REQUEST);
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        gate.open();
+        until("it is closed", listener::closed);
+        assertEquals(0, status(late.get()));
+        assertEquals(0, bytesRead.get());
+        assertTrue(door.waited >= 50, "it comes late into the queue of a loaded machine: " + door.waited);
+        late.get().close();
+    }
+}
