Ordered partitions in serve: lease, lines of keys, jobs handed to their owner

The cores of ordered partitions were played in virtual time only; serve knew nothing of them. Now `partition` in the operators' file (needs `group`, cannot go with `subset`) turns them on: parts.PartitionPart, named in Parts alone, and partition.client round the cores. The agreed value is a section of the group's register; lease questions go over channel 4 and are answered by what an elector has voted for (Agreement.voted), decided or not, as DECIDED may be lost on its way while a majority has it. Who is silent or gone is told by a majority of electors (Hearings, pure). A job whose key is another's is handed on over plain HTTP once (X-Handed-By); the module is asked with the partition's workers only (Request.among), and the fence before each send. Console: GET /admin/partition, POST .../table, .../start.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -40,6 +41,7 @@
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
 import maplespread.worker.Prober;
+import maplespread.worker.Relay;
 import org.tinylog.Logger;
 
 /** One running dispatcher: puts the parts together and takes them through the phases. */
@@ -81,7 +83,7 @@
     private RegistrySettings registry;                           // null: discovery has the word
     private final List<Thread> threads;
     private final ExecutorService probes;
-    private ServerSocket socket;
+    private volatile ServerSocket socket;                        // null before it is bound
     private volatile Listener listener;
     private volatile long lastUs = Long.MAX_VALUE;               // by when all must be answered
     private long sweptAt = System.nanoTime();
@@ -162,6 +164,15 @@
         @Override public boolean accepting() {
             return lifecycle.accepting();
         }
+
+        @Override public InetSocketAddress listens() {
+            ServerSocket s = socket;
+            return s == null ? null : (InetSocketAddress) s.getLocalSocketAddress();
+        }
+
+        @Override public Relay relay() {
+            return new Relay(links);
+        }
     }
 
     /**
@@ -186,17 +197,18 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        socket = new ServerSocket();
+        ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
         if (config.console() != null) {                          // beside the process that this one relieves
             socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
         InetSocketAddress at = config.listen();
         socket.bind(at, BACKLOG);
+        this.socket = socket;
         Service service = new Service(this::config, dispatcher, branches,
             threads("transaction", config.sizes().transactions() + 8), this::sizes, figures,
             lifecycle::serving, routes::unready,
-            lifecycle::parting, () -> lastUs, parts.ends());
+            lifecycle::parting, () -> lastUs, parts.ends(), parts.turns());
         listener = new Listener(socket, service, queued("leg", config.sizes().legs()),
             threads("spare", SPARE_LEGS));
         thread("listener", listener).start();
@@ -252,6 +264,7 @@
             Config read = source.read();
             Config next = read.after(config);
             Operator operator = source.operator();
+            operator.check(next);
             RegistrySettings then = operator.registry();
             List<String> later = config.needingRestart(read);
             if (!later.isEmpty()) {
@@ -385,7 +398,9 @@
                 part();
                 if (System.nanoTime() - sweptAt > SWEEP_MS * 1_000_000) {
                     sweptAt = System.nanoTime();
-                    links.sweep(new HashSet<>(dispatcher.addresses()));
+                    Set<String> used = new HashSet<>(dispatcher.addresses());
+                    used.addAll(parts.peers());
+                    links.sweep(used);
                     branches.sweep();
                     if (listener != null) {
                         listener.sweep();
--- a/src/main/java/maplespread/Start.java
+++ b/src/main/java/maplespread/Start.java
@@ -45,7 +45,9 @@
                     Event.asJson();
                 }
             }
-            Server server = new Server(ConfigReader.fromEnvironment(env), operator, new Server.Source() {
+            Config config = ConfigReader.fromEnvironment(env);
+            operator.check(config);
+            Server server = new Server(config, operator, new Server.Source() {
                 @Override public Config read() throws ConfigError {
                     return ConfigReader.again(env);
                 }
--- a/src/main/java/maplespread/agreement/Agreement.java
+++ b/src/main/java/maplespread/agreement/Agreement.java
@@ -116,6 +116,14 @@
         return blind;
     }
 
+    /**
+     * What this run has voted for last, decided or not; null while it is blind or knows of nothing. Once a
+     * value is decided, most electors have voted for it or for a later one.
+     */
+    public Value voted() {
+        return blind || accepted == null ? null : accepted.kept().value();
+    }
+
     /** The electors as this member knows them; two lists while a change is under way: each decides. */
     public List<List<String>> electors() {
         return lists(Held.later(accepted, known) ? accepted : known);
--- a/src/main/java/maplespread/agreement/client/Register.java
+++ b/src/main/java/maplespread/agreement/client/Register.java
@@ -169,6 +169,11 @@
         return core.blind();
     }
 
+    /** See {@link Agreement#voted}. */
+    public synchronized Value voted() {
+        return core.voted();
+    }
+
     /** The electors as this member knows them; two lists while a change of them is under way. */
     public synchronized List<List<String>> electors() {
         return core.electors();
--- a/src/main/java/maplespread/caller/Answer.java
+++ b/src/main/java/maplespread/caller/Answer.java
@@ -81,6 +81,19 @@
         give(Code.FAILURE, head, text(why));
     }
 
+    /** It may have run, and may yet run. */
+    void doubtful(String why) {
+        give(Code.FAILURE, HttpWriter.response(502).field(Turns.REASON, "in-doubt"), text(why));
+    }
+
+    /** What another one has said, unchanged. */
+    void said(Turns.Said said) {
+        HttpWriter head = HttpWriter.response(said.status());
+        said.fields().forEach(f -> head.field(f[0], f[1]));
+        give(said.status() == 200 ? Code.SUCCESS : said.status() == 503 ? Code.BUSY : Code.FAILURE, head,
+            said.body());
+    }
+
     void plain(int status, String why) {
         give(Code.FAILURE, HttpWriter.response(status), text(why));
     }
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -30,6 +30,21 @@
     private static final double FULL_PAUSE_MS = 250;             // beyond capacity the module is not asked
     private static final int MOST_FAULTS = 4;                    // in a row, then the connection ends
     private static final long FAULT_PAUSE_MS = 25;               // doubles with each
+    private static final Turns.Go NO_TURN = new Turns.Go() {     // where jobs have no order
+        @Override public boolean still() {
+            return true;
+        }
+
+        @Override public void tried(Outcome how) { }
+
+        @Override public Turns.End over(boolean served) {
+            return Turns.End.ENDED;
+        }
+
+        @Override public Turns.Said lost() {
+            return null;
+        }
+    };
 
     private final HttpConnection connection;
     private final Service service;
@@ -314,7 +329,7 @@
                 }
                 if (early()) {
                     if (broken(answer)) {
-                        dispatcher.reportLeft(t);
+                        left(t);
                     }
                     answer.awaitGiven();                         // else it was on its way: this is the next
                     return;
@@ -334,28 +349,57 @@
     private void leave(Transaction t, Answer answer) {
         if (!answer.given()) {
             answer.drop();
-            dispatcher.reportLeft(t);
+            left(t);
         }
         connection.close();
     }
 
+    private void left(Transaction t) {
+        if (service.turns() != null) {
+            service.turns().left(t);
+        }
+        dispatcher.reportLeft(t);
+    }
+
     private void transact(JobRequest job, Answer answer) {
+        Turns.Go go = NO_TURN;
+        boolean over = false;
         try {
+            if (service.turns() != null) {
+                Turns.Turn turn = service.turns().take(job.job(dispatcher.nowUs()));
+                if (turn instanceof Turns.Said said) {
+                    say(job, answer, said);
+                }
+                if (!(turn instanceof Turns.Go mine)) {
+                    return;
+                }
+                go = mine;
+            }
             while (true) {
-                Word word = dispatcher.pick(job.transaction);
+                if (!go.still()) {
+                    dispatcher.reportLeft(job.transaction);
+                    over = true;
+                    lost(job, answer, go);
+                    return;
+                }
+                Word word = answer.given() ? new Word.Left() : dispatcher.pick(job.transaction);
                 if (word instanceof Branch branch) {
-                    if (branch(job, branch, answer)) {
+                    if (branch(job, branch, answer, go)) {
+                        over = true;
                         return;
                     }
-                } else if (word instanceof Word.BusyAnswer busy) {
+                    continue;
+                }
+                over = true;
+                boolean sure = go.over(false) != Turns.End.DOUBT;
+                if (word instanceof Word.BusyAnswer busy) {
                     answer.busy(busy.pauseMs());
-                    return;
-                } else if (word instanceof Word.Failed) {
+                } else if (word instanceof Word.Failed && sure) {
                     answer.failed(502, "no worker served it");
-                    return;
-                } else {
-                    return;                                      // the client has left
+                } else if (word instanceof Word.Failed) {
+                    answer.doubtful("it may have run, or may yet run");
                 }
+                return;                                          // else the client has left
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -363,21 +407,43 @@
             Logger.error(e, "a transaction failed");
             dispatcher.reportLeft(job.transaction);
         } finally {
+            if (!over) {
+                go.tried(Outcome.RESET);                         // nobody knows
+                go.over(false);
+            }
             if (!answer.given()) {
                 answer.failed(500, "internal error");
             }
         }
     }
 
+    private void say(JobRequest job, Answer answer, Turns.Said said) {
+        if (!said.taken()) {
+            service.ids().untaken(job.message.id());
+        }
+        answer.said(said);
+    }
+
+    /** The turn was lost before the job could be sent, or between two attempts. */
+    private void lost(JobRequest job, Answer answer, Turns.Go go) {
+        if (go.over(false) == Turns.End.NEVER_RAN) {
+            say(job, answer, go.lost());
+        } else {
+            answer.doubtful("it may have run, and its turn was lost");
+        }
+    }
+
     /** Runs a branch; whether it served the transaction. */
-    private boolean branch(JobRequest job, Branch branch, Answer answer) {
+    private boolean branch(JobRequest job, Branch branch, Answer answer, Turns.Go go) {
         Branches.Ended end = null;
         Outcome outcome = Outcome.RESET;                         // should the run itself fail
         answer.tried(branch.worker());
         try {
             end = service.branches().run(branch, job.message);
             outcome = end.outcome;
+            go.tried(outcome);
             if (outcome == Outcome.SERVED) {
+                go.over(true);                                   // the next one need not wait for this client
                 answer.served(end.result);
             }
         } finally {
--- a/src/main/java/maplespread/caller/Ids.java
+++ b/src/main/java/maplespread/caller/Ids.java
@@ -29,6 +29,11 @@
         endedAt.put(id, System.nanoTime());
     }
 
+    /** Its request was not taken: the same one may come again. */
+    void untaken(String id) {
+        endedAt.remove(id);
+    }
+
     /** Forgets what ended long ago. */
     void sweep() {
         long now = System.nanoTime();
--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -1,8 +1,10 @@
 package maplespread.caller;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
 import maplespread.facade.Transaction;
@@ -16,12 +18,18 @@
     /** For the answer's way to the client, so that one at the deadline still arrives in time. */
     private static final long WAY_BACK_US = 5_000;
     private static final int LONGEST_TARGET = 2048;
+    private static final List<String> HANDED_ON = List.of("X-Lane", "X-Org", "X-Estimate", "X-Labels",
+        "X-Entity", "Idempotency-Key");
 
     final Message message;
     final Transaction transaction;
+    private final HttpHead head;
+    private final String tenant;
+    private final Map<String, Double> labels = new HashMap<>();
 
     /** {@code lastByteUs}: when the request's last byte had come, on the dispatcher's clock. */
     JobRequest(Service service, HttpHead head, byte[] body, long lastByteUs) throws HttpError {
+        this.head = head;
         Config config = service.config();
         int cls = config.names().place(firstPart(head.target()));
         if (cls < 0) {
@@ -44,13 +52,14 @@
         if (!id.matches("[!-~]{1,128}")) {
             throw new HttpError(400, "malformed X-Txn");
         }
-        int tenant = 0;
+        int place = 0;
         if (!config.names().tenants().isEmpty()) {
-            tenant = config.names().tenants().indexOf(need(head, "X-Org"));
-            if (tenant < 0) {
+            place = config.names().tenants().indexOf(need(head, "X-Org"));
+            if (place < 0) {
                 throw new HttpError(400, "unknown X-Org");
             }
         }
+        tenant = config.names().tenants().isEmpty() ? null : config.names().tenants().get(place);
         String remaining = need(head, "X-Remaining-Ms");
         if (!remaining.matches("[0-9]{1,7}") || Long.parseLong(remaining) > LONGEST_MS
             || Long.parseLong(remaining) == 0) {
@@ -68,6 +77,9 @@
                 throw new HttpError(400, "malformed X-Labels");
             }
             double v = figure(label.substring(eq + 1), "X-Labels", 0);
+            if (service.turns() != null) {
+                this.labels.put(label.substring(0, eq).strip(), v);
+            }
             switch (label.substring(0, eq).strip().toLowerCase(Locale.ROOT)) {
                 case "slots", "coresneeded", "x1" -> slots = v;
                 case "memory", "ramunits", "x2" -> memory = v;
@@ -79,8 +91,8 @@
         // that it cannot read, and a field may mean something else to it than to this parser.
         List<String[]> fields = new ArrayList<>();
         fields.add(new String[] {"X-Lane", lane});
-        if (!config.names().tenants().isEmpty()) {
-            fields.add(new String[] {"X-Org", config.names().tenants().get(tenant)});
+        if (tenant != null) {
+            fields.add(new String[] {"X-Org", tenant});
         }
         if (entity != null && !entity.isEmpty()) {
             if (!entity.matches("[ -~]{1,256}")) {
@@ -103,10 +115,23 @@
         }
         message = new Message(head.method(), head.target(), id, lane, fields, body);
         long waitsUntilUs = lastByteUs + Math.round(waitMs * 1000) - WAY_BACK_US;
-        transaction = new Transaction(cls, tenant, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
+        transaction = new Transaction(cls, place, Math.min(waitsUntilUs, service.lastUs().getAsLong()),
             workMs, slots, memory, entity, config.settings());
     }
 
+    /** As those see it who give jobs their turn. */
+    Turns.Job job(long nowUs) {
+        List<String[]> fields = new ArrayList<>();
+        for (String name : HANDED_ON) {
+            if (head.get(name) != null) {
+                fields.add(new String[] {name, head.get(name)});
+            }
+        }
+        String entity = head.get("X-Entity");
+        return new Turns.Job(message, transaction, tenant, entity == null || entity.isEmpty() ? null : entity,
+            labels, fields, head.get(Turns.HANDED_BY), (transaction.deadlineUs() - nowUs) / 1000);
+    }
+
     private static String firstPart(String target) {
         int end = 1;
         while (end < target.length() && "/?".indexOf(target.charAt(end)) < 0) {
--- a/src/main/java/maplespread/cli/Cli.java
+++ b/src/main/java/maplespread/cli/Cli.java
@@ -110,6 +110,9 @@
                 out.printf("known workers        %d%n", c.known().routes().size());
             }
             Operator o = OperatorReader.file(file);
+            if (env.get("BALANCER_CONFIG") != null) {
+                o.check(ConfigReader.fromEnvironment(env));
+            }
             out.printf("log.form             %s%n", o.jsonLog() ? "json" : "text");
             out.printf("subset               %s%n", o.subset() == null ? "off: all workers are used"
                 : (long) o.subset().sharers() + " dispatchers a worker, at least " + (long) o.subset().least()
@@ -119,6 +122,8 @@
                 : o.group());
             out.printf("release              %s%n", o.release() == null
                 ? "off: nothing is agreed on who is out" : o.release());
+            out.printf("partition            %s%n", o.partition() == null ? "off: jobs have no order"
+                : o.partition());
             RegistrySettings r = o.registry();
             if (r == null) {
                 out.println("registry             off: routes come from discovery");
--- a/src/main/java/maplespread/config/Checked.java
+++ b/src/main/java/maplespread/config/Checked.java
@@ -60,6 +60,14 @@
         return part;
     }
 
+    /** The text of an object that another reader checks. */
+    String object(String key) throws ConfigError {
+        if (!has(key) || !in.get(key).isJsonObject()) {
+            throw error(key, has(key) ? "must be an object" : "is missing");
+        }
+        return in.get(key).toString();
+    }
+
     String string(String key, String otherwise) throws ConfigError {
         if (!has(key)) {
             if (otherwise == null) {
--- a/src/main/java/maplespread/config/Operator.java
+++ b/src/main/java/maplespread/config/Operator.java
@@ -9,10 +9,11 @@
  * the workers come from the platform's discovery; {@code subset}: null where each dispatcher uses all
  * workers; {@code fair}: whether requests beyond their tenant's share give way; {@code group}: null where
  * dispatchers share nothing; {@code release}: who may be out at once, null where nothing is agreed on that;
- * {@code starvation}: null where it is not looked for.
+ * {@code starvation}: null where it is not looked for; {@code partition}: null where jobs have no order.
  */
 public record Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair,
-        GroupSettings group, Limits release, StarvationSettings starvation) {
+        GroupSettings group, Limits release, StarvationSettings starvation,
+        PartitionSettings partition) {
     /** What counts where there is no file. */
     public static final Operator NONE = new Operator(false, null);
 
@@ -23,6 +24,13 @@
 
     /** Without a group. */
     public Operator(boolean jsonLog, RegistrySettings registry, Cut.Wish subset, boolean fair) {
-        this(jsonLog, registry, subset, fair, null, null, null);
+        this(jsonLog, registry, subset, fair, null, null, null, null);
+    }
+
+    /** What the two files must agree in; to be called when both have been read. */
+    public void check(Config config) throws ConfigError {
+        if (partition != null) {
+            partition.check(config);
+        }
     }
 }
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -52,8 +52,15 @@
             throw root.error("release", "needs a group: nothing can be agreed without one");
         }
         StarvationSettings starvation = root.has("starvation") ? starvation(root.part("starvation")) : null;
+        PartitionSettings partition = root.has("partition") ? partition(root.part("partition")) : null;
+        if (partition != null && group == null) {
+            throw root.error("partition", "needs a group: no order can be kept without one");
+        }
+        if (partition != null && subset != null) {
+            throw root.error("partition", "cannot go with subset, which may lack a partition's workers");
+        }
         root.end();
-        return new Operator(json, registry, subset, fair, group, release, starvation);
+        return new Operator(json, registry, subset, fair, group, release, starvation, partition);
     }
 
     private static StarvationSettings starvation(Checked in) throws ConfigError {
@@ -66,6 +73,19 @@
         return verdicts.equals("off") ? null : set;
     }
 
+    private static PartitionSettings partition(Checked in) throws ConfigError {
+        String address = in.string("address", "");
+        if (!address.isEmpty()) {
+            address(in, "address", address);
+        }
+        long lease = in.whole("lease_ms", 300, 50, 60_000);
+        long ask = in.whole("ask_ms", lease / 4, 5, lease / 2);
+        long silent = in.whole("silent_ms", Math.max(2 * ask, lease * 5 / 6), 2 * ask, 60_000);
+        long gone = in.whole("gone_ms", silent * 14 / 5, silent + ask, 600_000);
+        return new PartitionSettings(in.object("table"), address, lease, ask, silent, gone,
+            in.number("drift", 0.01, 0, 0.2), (int) in.whole("slots", 64, 1, 256));
+    }
+
     private static GroupSettings group(Checked in) throws ConfigError {
         String listen = address(in, "listen", in.string("listen", null));
         String address = address(in, "address", in.string("address", listen));
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -1,6 +1,7 @@
 package maplespread.decision;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * The whole interface between a host (a dispatcher node) and the decision module {@link Logic}.
@@ -152,10 +153,22 @@
     /**
      * A request taken by this node. {@code deadlineUs}: when its client stops waiting; {@code key}: what it
      * concerns, or null; {@code under}: the settings it was taken under, whose rules hold for it to its end;
-     * null: the present ones; {@code counts}: what of its worth it counts for under its tenant's share, 0..1.
+     * null: the present ones; {@code counts}: what of its worth it counts for under its tenant's share, 0..1;
+     * {@code among}: the workers that it may go to, by id, null: any; its answer may change while it is open.
      */
     public record Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
-                          double memory, String key, Settings under, double counts) {
+                          double memory, String key, Settings under, double counts,
+                          Predicate<String> among) {
+        /** To any worker. */
+        public Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
+                       double memory, String key, Settings under, double counts) {
+            this(id, cls, tenant, deadlineUs, workMs, slots, memory, key, under, counts, null);
+        }
+
+        boolean allows(String worker) {
+            return among == null || among.test(worker);
+        }
+
         /** Under the present settings. */
         public Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
                        double memory, String key) {
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -107,7 +107,7 @@
             throw new IllegalStateException("request " + r.id() + " was taken before");
         }
         Req q = new Req(r);
-        open.put(q.id, q);
+        open.put(r.id(), q);
         scan();
         offered(q);
         place(q);
@@ -385,7 +385,7 @@
                 if (Double.isNaN(b.startAt) && !b.lost && a.sentAt - b.sentAt > aim / 2) {
                     b.lost = true;
                     if (allow.cancel() && b.req.spec.effect() == Effect.READ_LIKE && !b.req.ended) {
-                        actions.cancel(b.req.id, b.req.attempts.indexOf(b));
+                        actions.cancel(b.req.of.id(), b.req.attempts.indexOf(b));
                     }
                 }
             }
@@ -615,7 +615,7 @@
         double step = Math.max(0.01, 1 / ++offers);              // a plain mean first, forgetting later
         meanX = offers == 1 ? q.x : meanX + step * (q.x - meanX);
         meanWorth = offers == 1 ? worth : meanWorth + step * (worth - meanWorth);
-        q.weight = clamp(worth / Math.max(meanWorth, 1e-9), 0.05, 50) * q.counts;
+        q.weight = clamp(worth / Math.max(meanWorth, 1e-9), 0.05, 50) * q.of.counts();
         if (offers > 1 && !set.firstTry(q.cls, q.deadline - now)) {
             return;                                              // a client's later try: offered before
         }
@@ -697,10 +697,10 @@
     }
 
     private final class Req {
-        final long id;
+        final Request of;                                        // as it was taken
         final int cls, tries;                                    // tries: attempts at most
         final ClassSpec spec;                                    // both as when it was taken
-        final double arrived, deadline, slots, memory, counts;   // counts: see Dispatch.Request
+        final double arrived, deadline, slots, memory;
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<Worker> asked = new ArrayList<>(LOOKS);       // probed for it
         final List<Worker> unheard = new ArrayList<>(LOOKS);     // of these, not answered yet
@@ -715,12 +715,11 @@
         }
 
         Req(Request r) {
-            id = r.id();
+            of = r;
             cls = r.cls();
             Settings under = r.under() == null ? set : r.under();
             spec = under.classes().get(cls);
             tries = under.permissions().tryLimit();
-            counts = r.counts();
             arrived = now;
             deadline = r.deadlineUs() / 1000.0;
             x = r.workMs() > 1e-4 * aim && r.workMs() < 1e3 * spec.deadlineMs() ? r.workMs() : Double.NaN;
@@ -754,9 +753,9 @@
         /** The one exit of every request that this node ends: refused where that is legal, else failed. */
         void stop() {
             if (refusable() && now < deadline) {
-                actions.refuse(id, Math.min(Math.max(soonest, aim / 2), allow.maxPauseMs()));
+                actions.refuse(of.id(), Math.min(Math.max(soonest, aim / 2), allow.maxPauseMs()));
             } else {
-                actions.fail(id);
+                actions.fail(of.id());
             }
             end();
         }
@@ -770,7 +769,7 @@
 
         void forget() {
             if (ended && out == 0) {
-                open.remove(id);
+                open.remove(of.id());
             }
         }
     }
@@ -784,7 +783,8 @@
     /** Every send passes here: rules 1 and 2 (legal), 3 (only workers listed as active), 4 (coldRoom). */
     private boolean gate(Req q, Worker w) {
         return w.health == Health.ACTIVE && (q.spec.kind() < 0 || q.spec.kind() == w.kindNo)
-            && Math.max(q.slots, q.memory) <= Math.max(1, w.slots()) && q.legal(w) && w.coldRoom(q.x);
+            && Math.max(q.slots, q.memory) <= Math.max(1, w.slots()) && q.of.allows(w.id)
+            && q.legal(w) && w.coldRoom(q.x);
     }
 
     /** On the ordinary path: neither down nor resting. */
@@ -846,7 +846,7 @@
             best = workers.cheapest(REFUSED);
         }
         looks.add(q);
-        actions.timer(aim / 8, q.id + 1 + TICK);
+        actions.timer(aim / 8, q.of.id() + 1 + TICK);
         return true;
     }
 
@@ -854,7 +854,7 @@
     private void looked(Req q) {
         if (q != null && stalledAt > q.arrived && !q.unheard.isEmpty()) {
             stalledAt = Double.NEGATIVE_INFINITY;                // the answers may stand behind this timer
-            actions.timer(set.tickMs(), q.id + 1 + TICK);
+            actions.timer(set.tickMs(), q.of.id() + 1 + TICK);
         } else if (q != null && looks.remove(q)) {
             q.unheard.forEach(Worker::rest);
             q.unheard.clear();
@@ -932,7 +932,7 @@
         q.home = null;
         q.second = null;
         for (Worker w : q.key != 0 ? workers.all() : List.<Worker>of()) {
-            if (w.health == Health.ACTIVE && !w.down) {
+            if (w.health == Health.ACTIVE && !w.down && q.of.allows(w.id)) {
                 if (q.home == null || q.rank(w) > q.rank(q.home)) {
                     q.second = q.home;
                     q.home = w;
@@ -963,7 +963,7 @@
         w.memory += q.memory;
         w.saved -= Math.max(a.x, meanAll());
         w.refresh();
-        actions.send(q.id, w.id);
+        actions.send(q.of.id(), w.id);
     }
 
     // ------------------------------------------------------------ upkeep: silence, probes
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
 import maplespread.decision.Dispatch;
 import maplespread.decision.Logic;
 import maplespread.fair.Shares;
@@ -75,7 +76,8 @@
                 t.changed = lock.newCondition();
                 open.put(t.id, t);
                 if (!guarded("request", () -> logic.request(nowUs(), new Dispatch.Request(t.id, t.cls,
-                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory, t.key, t.under, counts(t))))
+                    t.tenant, t.deadlineUs, t.workMs, t.slots, t.memory, t.key, t.under, counts(t),
+                    t.among)))
                     && t.word == null) {
                     end(t, new Word.Failed());
                 }
@@ -221,6 +223,10 @@
      * may have been told, or the client may have left: its work would be done for nobody.
      */
     public boolean mayUse(Branch b) {
+        BooleanSupplier still = b.transaction().still;
+        if (still != null && !still.getAsBoolean()) {            // not under the lock: it may have its own
+            return false;
+        }
         lock.lock();
         try {
             Route r = routes.get(b.worker());
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.Condition;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import maplespread.decision.Dispatch;
 
 /**
@@ -19,6 +21,8 @@
     final String key;
     final Dispatch.Settings under;                               // whose rules hold; null: the present ones
     final List<Branch> branches = new ArrayList<>(2);
+    Predicate<String> among;                                     // workers that it may go to; null: any
+    BooleanSupplier still;                                       // it may be sent now; null: always
     long id;
     boolean taken;
     boolean ended;                                               // no further branch, whatever comes
@@ -48,6 +52,15 @@
         this.key = key;
     }
 
+    /**
+     * Before it is first asked about: it may go to these workers only, and is sent only while {@code still}
+     * holds, null: always, which is asked just before each sending, by its own thread.
+     */
+    public void narrow(Predicate<String> workers, BooleanSupplier still) {
+        among = workers;
+        this.still = still;
+    }
+
     public int cls() {
         return cls;
     }
--- a/src/main/java/maplespread/partition/Fence.java
+++ b/src/main/java/maplespread/partition/Fence.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.IntPredicate;
+import java.util.function.Predicate;
 
 /**
  * Whether this member may send for a slot at this very moment. It may while a majority of electors has told
@@ -85,7 +86,12 @@
 
     /** An elector has answered that it grants, by {@link Owners#grants}, what was asked with this number. */
     public void granted(long now, String elector, long asked) {
-        if (asked == seq && granted.add(elector) && granted.size() > set.electors() / 2) {
+        granted(elector, asked, all -> all.size() > set.electors() / 2);
+    }
+
+    /** The same where electors change; {@code majority}: whether these are one of those asked. */
+    public void granted(String elector, long asked, Predicate<Set<String>> majority) {
+        if (asked == seq && granted.add(elector) && majority.test(granted)) {
             leaseUntil = Math.max(leaseUntil, askedAt + set.leaseMs());
         }
     }
--- a/src/main/java/maplespread/partition/KeyQueue.java
+++ b/src/main/java/maplespread/partition/KeyQueue.java
@@ -24,8 +24,11 @@
     /** Why a job is answered without having gone out. All but {@code STOPPED} may be tried again. */
     public enum Answer { LATE, AGED, FULL, SKIPPED, STOPPED, MOVED }
 
-    /** How a job that was out has ended, all its attempts together. */
-    public enum Outcome { DONE, FAILED, NEVER_RAN, UNKNOWN }
+    /**
+     * How a job that was out has ended, all its attempts together. LINGERS: done, but an earlier attempt of
+     * it may still run.
+     */
+    public enum Outcome { DONE, FAILED, NEVER_RAN, UNKNOWN, LINGERS }
 
     /**
      * A job as it is taken; times are milliseconds of the clock that is passed in. {@code workMs}: how long
@@ -165,7 +168,7 @@
         Rule rule = line.out.rule;
         keys.remove(id);
         line.out = null;
-        if (how == Outcome.UNKNOWN) {
+        if (how == Outcome.UNKNOWN || how == Outcome.LINGERS) {
             line.heldUntil = now + set.surely(rule.runsMs());
         }
         // Where nobody knows, it may have failed.
--- a/src/main/java/maplespread/partition/Owners.java
+++ b/src/main/java/maplespread/partition/Owners.java
@@ -44,11 +44,16 @@
 
     /** Before anything was agreed on: nobody owns anything. */
     public static Owners first(int slots, String table) {
+        return first(slots, table, 1);
+    }
+
+    /** The same, counting from a number beyond those of any value that was lost. */
+    public static Owners first(int slots, String table, long number) {
         List<Slot> all = new ArrayList<>();
         for (int i = 0; i < slots; i++) {
-            all.add(new Slot("", 1, Map.of()));
+            all.add(new Slot("", number, Map.of()));
         }
-        return new Owners(1, 1, Set.of(), Map.of(), all, table, table, 1, Set.of());
+        return new Owners(number, number, Set.of(), Map.of(), all, table, table, number, Set.of());
     }
 
     public static Owners read(String text) {
@@ -109,7 +114,8 @@
         return best;
     }
 
-    private static String name(String member) {
+    /** The dispatcher whose run it is. */
+    public static String name(String member) {
         return member.substring(0, member.lastIndexOf('#'));
     }
 
--- /dev/null
+++ b/src/main/java/maplespread/partition/client/PartitionRefused.java
@@ -0,0 +1,35 @@
+package maplespread.partition.client;
+
+import maplespread.faults.FleetError;
+
+/** A call of an operator's about order that could not be followed. Nothing was changed by it. */
+public final class PartitionRefused extends FleetError {
+    private static final long serialVersionUID = 1;
+
+    /** Why, for a program; {@link #wrong()} says it in words. */
+    public enum Reason {
+        /** This instance is not in the group yet, or no table is agreed on. */
+        NOT_AGREED(503, "jobs without an order", "look at who the electors are, and call again"),
+        /** The last change of the table still settles, or another one came first. */
+        SETTLING(409, "the table that counts", "call again after a hold time"),
+        /** The call lacks what it is about. */
+        BAD_CALL(400, "everything; nothing was asked of the fleet", "add to the call what is named");
+
+        final int status;
+        final String works;
+        final String remedy;
+
+        Reason(int status, String works, String remedy) {
+            this.status = status;
+            this.works = works;
+            this.remedy = remedy;
+        }
+    }
+
+    final int status;
+
+    PartitionRefused(Reason reason, String wrong) {
+        super(wrong, reason.works, reason.remedy);
+        status = reason.status;
+    }
+}
--- a/src/main/java/maplespread/parts/Host.java
+++ b/src/main/java/maplespread/parts/Host.java
@@ -1,7 +1,9 @@
 package maplespread.parts;
 
+import java.net.InetSocketAddress;
 import maplespread.config.Config;
 import maplespread.figures.Figures;
+import maplespread.worker.Relay;
 
 /** What a part may ask of the dispatcher that it belongs to. */
 public interface Host {
@@ -26,4 +28,10 @@
 
     /** Whether clients that come are taken. */
     boolean accepting();
+
+    /** Where clients are listened to; null: not yet. */
+    InetSocketAddress listens();
+
+    /** What takes requests to other dispatchers, on the connections that are for workers too. */
+    Relay relay();
 }
--- a/src/main/java/maplespread/parts/Part.java
+++ b/src/main/java/maplespread/parts/Part.java
@@ -2,7 +2,10 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
+import maplespread.caller.Turns;
 import maplespread.config.Config;
 import maplespread.config.Operator;
 import maplespread.console.Calls;
@@ -42,6 +45,16 @@
         return null;
     }
 
+    /** What stands between a job and the module; null: this part does not. */
+    default Turns turns() {
+        return null;
+    }
+
+    /** Addresses of other dispatchers to which connections are kept. */
+    default Collection<String> peers() {
+        return List.of();
+    }
+
     /** Its calls on the console by method and path; one of a name that is there takes that one's place. */
     default Map<String, Calls.Call> calls() {
         return Map.of();
--- a/src/main/java/maplespread/parts/Parts.java
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -2,9 +2,13 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import maplespread.caller.Turns;
 import maplespread.config.Config;
 import maplespread.config.Operator;
 import maplespread.console.Calls;
@@ -29,6 +33,10 @@
         if (operator.group() != null) {
             group = new GroupPart(operator.group(), config, host);
             all.add(group);
+            if (operator.partition() != null) {
+                all.add(new PartitionPart(operator.partition(), config, operator.group().address(), host,
+                    group));
+            }
             if (operator.release() != null) {
                 all.add(new ReleasePart(operator.release(), operator.registry(), config, host, group));
             }
@@ -66,6 +74,7 @@
         later("group", begun.group(), next.group());
         later("release", begun.release(), next.release());
         later("starvation", begun.starvation(), next.starvation());
+        later("partition", begun.partition(), next.partition());
         for (Part part : all) {
             part.reload(config, next);
         }
@@ -106,6 +115,25 @@
         return null;
     }
 
+    /** What stands between a job and the module; null: nothing. */
+    public Turns turns() {
+        for (Part part : all) {
+            if (part.turns() != null) {
+                return part.turns();
+            }
+        }
+        return null;
+    }
+
+    /** Addresses of other dispatchers to which connections are kept. */
+    public Collection<String> peers() {
+        Set<String> peers = new TreeSet<>();
+        for (Part part : all) {
+            peers.addAll(part.peers());
+        }
+        return peers;
+    }
+
     /** The console's calls: these, and those of the parts. */
     public Calls calls(Map<String, Calls.Call> own) {
         Map<String, Calls.Call> table = new TreeMap<>(own);
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -78,6 +78,18 @@
             .resideInAnyPackage("maplespread.registry..").check(ALL);
     }
 
+    /** Order is entered by one interface: who serves clients knows nothing of slots, leases and the group. */
+    @Test
+    void orderIsEnteredByOneInterface() {
+        noClasses().that().resideInAnyPackage("maplespread.caller..", "maplespread.worker..",
+            "maplespread.facade..", "maplespread.decision..").should().dependOnClassesThat()
+            .resideInAnyPackage("maplespread.partition..", "maplespread.group..", "maplespread.agreement..")
+            .check(ALL);
+        noClasses().that().resideOutsideOfPackages("maplespread.partition.client", "maplespread.parts",
+            "maplespread.lab..").should().dependOnClassesThat()
+            .resideInAPackage("maplespread.partition.client").check(ALL);
+    }
+
     /** Each new package says what it owns and whom it may call. */
     @Test
     void newPackagesSayWhatTheyOwn() throws IOException {
@@ -85,7 +97,8 @@
                 "lab/registry", "lab/membership", "lab/address", "membership", "membership/client",
                 "address", "announce", "console", "figures",
                 "upgrade", "subset", "fair", "faults", "parts", "group", "release", "release/client",
-                "lab/fleet", "agreement", "agreement/client", "lab/agreement", "partition", "lab/partition",
+                "lab/fleet", "agreement", "agreement/client", "lab/agreement", "partition",
+                "partition/client",                "lab/partition",
                 "lab/release", "starvation", "starvation/client", "lab/starvation",
                 "lab/rig")) {
             assertTrue(Files.exists(Path.of("src/main/java/maplespread", p, "package-info.java")), p);
--- a/src/test/java/maplespread/PlainStartTest.java
+++ b/src/test/java/maplespread/PlainStartTest.java
@@ -32,7 +32,9 @@
         assertTrue(all.stream().anyMatch(l -> l.contains(" maplespread.parts.Parts ")), "it is written down");
         List<String> off = all.stream().filter(l -> l.matches(".* (picocli|org[.]HdrHistogram|org[.]apache|"
             + "maplespread[.](agreement|partition|starvation|group|release|membership|faults|subset|fair|"
-            + "registry|console|upgrade|cli|lab|parts[.]\\w+Part\\b|config[.]GroupSettings))\\b.*")).toList();
+            + "registry|console|upgrade|cli|lab|parts[.]\\w+Part\\b|config[.](Group|Partition)Settings))\\b"
+            + ".*"))
+            .toList();
         assertEquals(List.of(), off);
     }
 }
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -104,6 +104,15 @@
         "{}                       | {'workers_out':-1}   | release.workers_out: must be a number from 0.0",
         "{}                       | {'least_capacity':2} | release.least_capacity: must be a number from",
         "{}                       | {'back_ms':0}        | release.back_ms: must be a whole number from",
+        "{}                       | {},'partition':{}    | partition.table: is missing",
+        "{}                       | {},'partition':{'table':3} | partition.table: must be an object",
+        "{}                       | {},'partition':{'table':{},'ask_ms':151} | partition.ask_ms: must be",
+        "{}                       | {},'partition':{'table':{},'gone_ms':324} | partition.gone_ms: must be a",
+        "{}                       | {},'partition':{'table':{},'slots':257} | partition.slots: must be a wh",
+        "{}                       | {},'partition':{'table':{},'address':'n:1'} | partition.address: not a n",
+        "{}                       | {},'partition':{'table':{},'laese_ms':1} | partition.laese_ms: is not kn",
+        "{}                       | {},'subset':{},'partition':{'table':{}} | partition: cannot go with",
+        "'release':{}             | 'partition':{'table':{}},'gruop':3 | gruop: is not known",
         "'group'                  | 'gruop'              | release: needs a group"})
     void faultsOfAGroupAreNamed(String part, String instead, String message) throws ConfigError {
         assertEquals(Limits.DEFAULT, read(GROUP).release());
--- /dev/null
+++ b/src/test/java/maplespread/partition/HearingsTest.java
@@ -0,0 +1,78 @@
+package maplespread.partition;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import maplespread.partition.Hearings.Heard;
+import maplespread.partition.Hearings.Report;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Three electors, silent after 100 ms, gone after 300; what each knows of one dispatcher. */
+class HearingsTest {
+    private static final List<String> ELECTORS = List.of("e0", "e1", "e2");
+    private static final Hearings.Patience PATIENCE = new Hearings.Patience(100, 300);
+    private static final Owners BEFORE = Owners.first(4, "t").members(Set.of("x#1"));
+
+    /** Each elector's word: its run of x, how long x is quiet, and ! where it wants no slots; -: none. */
+    @ParameterizedTest
+    @CsvSource({
+        "1/50, 1/50, 1/50, x#1, ''",
+        "1/50, 1/50, -, x#1, ''",                                // whoever two hear may stay
+        "1/50, 1/200, 1/200, x#1, x#1",
+        "1/50, 1/400, 1/400, '', ''",
+        "1/400, 1/50, 1/50, x#1, ''",                            // one elector alone takes nobody's slots
+        "1/50, 2/50, 1/50, x#2, ''",                             // a later run takes the place of an earlier
+        "0/900, 0/900, 0/900, '', ''",                           // nobody has heard of it since they began
+        "1/50!, 1/90, 1/90, x#1, ''",                            // the latest word of it counts,
+        "1/90, 1/90, 1/50!, '', ''",                          // by its number
+        "2/200, -, -, '', ''"})                                  // another run that no majority hears
+    void aMajoritysEarsDecide(String e0, String e1, String e2, String members, String silent) {
+        long now = 1000;
+        Hearings h = new Hearings(0);
+        String[] words = {e0, e1, e2};
+        for (int i = 0; i < 3; i++) {
+            if (!words[i].equals("-")) {
+                String[] w = words[i].replace("!", "").split("/");
+                long quiet = Long.parseLong(w[1]);
+                long run = Long.parseLong(w[0]);
+                boolean wants = !words[i].endsWith("!");
+                if (i == 0 && run > 0) {
+                    h.heard(now - quiet, "x", run, i, wants);
+                } else if (i > 0) {
+                    h.told(now - 10, ELECTORS.get(i), new Report(890, run == 0 ? Map.of()
+                        : Map.of("x", new Heard(run, i, quiet - 10, wants))));
+                }
+            }
+        }
+        Owners after = h.members(now, ELECTORS, "e0", BEFORE, PATIENCE);
+        assertEquals(set(members), new TreeSet<>(after.members()));
+        assertEquals(set(silent), new TreeMap<>(after.silent()).keySet());
+        assertSame(after, h.members(now, ELECTORS, "e0", after, PATIENCE), "nothing is left to change");
+    }
+
+    private static Set<String> set(String words) {
+        return words.isEmpty() ? Set.of() : Set.of(words);
+    }
+
+    /** The first elector that is heard proposes; a word that comes late changes nothing. */
+    @Test void oneElectorLeads() {
+        Hearings h = new Hearings(0);
+        assertEquals(true, h.leads(5, ELECTORS, "e1", 100));
+        h.told(10, "e0", new Report(10, Map.of()));
+        assertEquals(false, h.leads(100, ELECTORS, "e1", 100));
+        assertEquals(true, h.leads(110, ELECTORS, "e1", 100));
+        assertEquals(false, h.leads(110, ELECTORS, "x", 100));
+        h.heard(20, "x", 1, 7, true);
+        h.heard(30, "x", 1, 6, false);                           // overtaken on its way
+        assertEquals(new Heard(1, 7, 80, true), h.report(100).heard().get("x"));
+        h.keep(Set.of("e0"));
+        assertEquals(Map.of(), h.report(100).heard());
+    }
+}
