A job not taken may come again under its id, and order's stories over sockets

A job that a non-owner hands back is retried by the same dispatcher under the same X-Txn, but the id was noted as used when its transaction ended, so the retry got 409 for as long as ids are kept. Ids.ended now notes only an id that is still taken. Found by the new story of handing on.

--- a/src/main/java/maplespread/caller/Ids.java
+++ b/src/main/java/maplespread/caller/Ids.java
@@ -26,7 +26,7 @@
     }
 
     void ended(String id) {
-        endedAt.put(id, System.nanoTime());
+        endedAt.replace(id, System.nanoTime());                 // not one that was not taken after all
     }
 
     /** Its request was not taken: the same one may come again. */
--- a/src/test/java/maplespread/net/GroupStory.java
+++ b/src/test/java/maplespread/net/GroupStory.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.stream.Stream;
 import maplespread.Server;
 import maplespread.config.Config;
 import maplespread.config.ConfigError;
@@ -39,9 +40,9 @@
         this.worker = worker;
         this.more = more;
         servers = new Server[n];
-        ports = new int[n];
-        DatagramSocket[] taken = new DatagramSocket[n];
-        for (int i = 0; i < n; i++) {
+        ports = new int[n + 1];
+        DatagramSocket[] taken = new DatagramSocket[n + 1];
+        for (int i = 0; i <= n; i++) {
             taken[i] = new DatagramSocket(0, InetAddress.getLoopbackAddress());
             ports[i] = taken[i].getLocalPort();
         }
@@ -50,12 +51,24 @@
             taken[i].close();
             begin(i);
         }
+        taken[n].close();
+    }
+
+    /** One more, in a process of its own, that decides nothing. */
+    Process process(Path dir) throws IOException {
+        int i = servers.length;
+        ProcessBuilder call = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
+            "-cp", System.getProperty("java.class.path"), "maplespread.Main", "serve");
+        call.environment().keySet().removeIf(k -> k.startsWith("BALANCER") || k.equals("JAVA_TOOL_OPTIONS"));
+        call.environment().put("BALANCER_CONFIG", Files.writeString(dir.resolve("c"), config(i)).toString());
+        call.environment().put("BALANCER_OPERATOR", Files.writeString(dir.resolve("o"), file(i)).toString());
+        return call.redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
     }
 
     /** The operators' file of one of them. */
     String file(int i) {
         StringBuilder electors = new StringBuilder("'n0'");
-        for (int e = 1; e < ports.length; e++) {
+        for (int e = 1; e < servers.length; e++) {
             electors.append(",'n").append(e).append('\'');
         }
         return ("{'group':{'listen':'127.0.0.1:" + ports[i] + "','seeds':['127.0.0.1:" + ports[0]
@@ -115,9 +128,7 @@
     }
 
     @Override public void close() throws IOException {
-        for (Server s : servers) {
-            s.stop();
-        }
+        Stream.of(servers).parallel().forEach(Server::stop);
         discovery.close();
         worker.close();
     }
--- a/src/test/java/maplespread/net/PartitionStoryTest.java
+++ b/src/test/java/maplespread/net/PartitionStoryTest.java
@@ -23,8 +23,9 @@
 
 /** Three dispatchers that keep order, and a worker that ends jobs when the story says so. */
 class PartitionStoryTest {
-    private static final String RULES = "{'rules':[{'when':{'class':'order'},'order':'by_key','runs_ms':300},"
-        + "{'when':{'class':'stock'},'order':'by_key_stop','runs_ms':300},{}]}";
+    private static final String RULES = "{'rules':[{'when':{'class':'order','entity':{'prefix':'s'}},"
+        + "'order':'by_key_stop','runs_ms':300},{'when':{'class':'order'},'order':'by_key','runs_ms':300},"
+        + "{}]}";
     @TempDir Path dir;
     private Peer worker;
     private GroupStory fleet;
@@ -102,4 +103,166 @@
             assertEquals("200 r" + i, answer.status() + " " + answer.text());
         }
     }
+
+    /** One whose slot is not here is handed on once; one that comes handed on is not, and may come again. */
+    @Test void aJobIsHandedOnOnceAndComesBackUnchanged() throws Exception {
+        int owner = owner("e1");
+        int other = (owner + 1) % 3;
+        String id = "t" + (ids + 1);
+        Said moved = send(other, "order", "e1", "\r\nX-Handed-By: x").get();
+        assertEquals("503 moved", reason(moved));
+        assertEquals("0.100", moved.head().get("Retry-After"));
+        ids--;                                                   // the same request, so it was not taken
+        CompletableFuture<Said> said = send(other, "order", "e1", "");
+        Call call = worker.next();
+        assertEquals(id, call.id());
+        assertEquals("acme e1 order null", call.head.get("X-Org") + " " + call.head.get("X-Entity") + " "
+            + call.head.get("X-Lane") + " " + call.head.get("X-Handed-By"));
+        call.open();
+        call.state("failed", "");
+        assertEquals("502 null", reason(said.get()));
+        assertEquals("503 moved", reason(send(owner, "order", "e1", "\r\nX-Handed-By: x "
+            + Long.MAX_VALUE / 10).get()), "sent by one that knows a later epoch");
+        assertEquals("400 null", reason(send(owner, "order", "", "").get()));
+        call = null;
+        said = send(owner, "order", "e1", "\r\nX-Handed-By: x");
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()));
+        said = send(other, "page", "e1", "");                    // no order: not handed on
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()));
+        assertTrue(worker.calls.isEmpty());
+    }
+
+    /** What is not known holds the key; its client is told at once, and others wait until it is over. */
+    @Test void aJobThatIsLostHoldsItsKeyAndAFailureStopsIt() throws Exception {
+        CompletableFuture<Said> said = send(0, "order", "e1", "");
+        Call call = worker.next();
+        long lostAt = System.nanoTime();
+        call.link.close();
+        assertEquals("502 in-doubt", reason(said.get()));
+        said = send(1, "order", "e1", "");
+        call = worker.next();
+        assertTrue(System.nanoTime() - lostAt >= 300_000_000, "after what it can run at most");
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()));
+
+        said = send(2, "order", "s9", "");
+        call = worker.next();
+        CompletableFuture<Said> behind = send(2, "order", "s9", "");
+        int owner = owner("s9");
+        until("it waits", () -> shown(owner).get("waiting").getAsInt() == 1);
+        call.open();
+        call.state("failed", "");
+        assertEquals("409 stopped", reason(behind.get()));
+        assertEquals("502 null", reason(said.get()));
+        for (int i = 0; i < 3; i++) {
+            assertEquals("[\"entity=s9\"]", shown(owner).get("stopped").toString());
+            assertEquals("409 stopped", reason(send(i, "order", "s9", "").get()));
+        }
+        assertEquals(400, fleet.call(0, "POST /admin/partition/start", "").status());
+        Said started = fleet.call(0, "POST /admin/partition/start?key=entity%3Ds9", "");
+        assertEquals("200 starts", started.status() + " " + started.text().strip());
+        until("all know", () -> shown(owner).getAsJsonArray("stopped").isEmpty());
+        said = send(0, "order", "s9", "");
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()));
+    }
+
+    private String table(int at, String rules) {
+        Said said = fleet.call(at, "POST /admin/partition/table", rules.replace('\'', '"'));
+        return said.status() + " " + said.text();
+    }
+
+    /** By the console or by a file that has changed, and never into a table that still settles. */
+    @Test void anotherTableComesByCallOrByTheFileAndIsCheckedWhole() throws Exception {
+        String byTenant = RULES.replace("'order':'by_key',", "'order':'by_key','key':'tenant',");
+        assertTrue(table(1, "{'rules':[{'to':'x'}]}").startsWith("409 rule 1: to: x is not known; still"));
+        assertTrue(table(1, "{").startsWith("409 table: not JSON"));
+        until("the first one has settled", () -> shown(1).get("may_change").getAsBoolean());
+        CompletableFuture<Said> said = send(0, "order", "e1", "");
+        Call call = worker.next();
+        assertTrue(table(1, byTenant).startsWith("200 table of epoch "));
+        until("it counts everywhere", () -> !shown(0).get("table").equals(shown(2).get("table")) ? false
+            : shown(0).get("table").toString().contains("tenant"));
+        long learnedAt = System.nanoTime();
+        assertTrue(table(1, RULES).startsWith("409 the change of epoch "));
+        CompletableFuture<Said> next = send(2, "order", "e2", "");    // another key before, now the same
+        assertEquals(0, worker.calls.size());
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()), "what was out goes on");
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(next.get()));
+        fleet.more = fleet.more.replace(RULES, RULES.replace("300", "200"));
+        fleet.servers[0].reload();
+        until("the file's table counts", () -> shown(2).get("table").toString().contains("200"));
+    }
+
+    /** One that ends gives its slots up while it still answers, and what comes there is handed on. */
+    @Test void whoIsDrainedHandsItsSlotsOver() throws Exception {
+        int owner = owner("e1");
+        int left = (owner + 1) % 3;
+        int other = (owner + 2) % 3;
+        CompletableFuture<Said> said = send(owner, "order", "e1", "");
+        Call call = worker.next();
+        CompletableFuture<Said> behind = send(other, "order", "e1", "");
+        until("it waits", () -> shown(owner).get("waiting").getAsInt() == 1);
+        assertEquals(200, fleet.call(owner, "POST /admin/quiesce", "").status());
+        until("another one owns it", () -> !shown(left).getAsJsonArray("members").toString()
+            .contains("n" + owner));
+        assertTrue(worker.calls.isEmpty(), "until what is out has ended");
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()));
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(behind.get()));
+        until("the others have all", () -> served(left, other));
+        said = send(owner, "order", "e1", "");
+        call = worker.next();
+        call.open();
+        call.done("r");
+        assertEquals("200 null", reason(said.get()), "handed on by the drained one");
+        assertEquals(200, fleet.call(owner, "POST /admin/resume", "").status());
+        until("it has its slots again", () -> owner("e1") == owner && served(0, 1, 2));
+    }
+
+    /** A killed owner's job is in doubt at once, and no other of its key goes out while it may run. */
+    @Test void anOwnerThatIsKilledLeavesItsKeysHeld() throws Exception {
+        Process victim = fleet.process(dir);
+        try {
+            until("it has slots, and nobody else's", () -> shown(0).get("slots").toString().contains("n3")
+                && shown(0).getAsJsonObject("leavers").size() == 0);
+            int n = 0;
+            while (owner("e" + n) != 3) {
+                n++;
+            }
+            CompletableFuture<Said> said = send(0, "order", "e" + n, "");
+            Call call = worker.next();
+            victim.destroyForcibly();
+            long killedAt = System.nanoTime();
+            assertEquals("502 in-doubt", reason(said.get()));
+            said = send(1, "order", "e" + n, "");
+            Call next = worker.next();
+            assertTrue(System.nanoTime() - killedAt >= 300_000_000, "what is out may still run");
+            next.open();
+            next.done("r");
+            assertEquals("200 null", reason(said.get()));
+            assertTrue(!next.id().equals(call.id()));
+            until("the others have all", () -> served(0, 1, 2));
+        } finally {
+            victim.destroyForcibly();
+        }
+    }
 }
