--- a/src/main/java/maplespread/caller/Ids.java
+++ b/src/main/java/maplespread/caller/Ids.java
@@ -26,7 +26,12 @@
     }
 
     void ended(String id) {
-        endedAt.put(id, System.nanoTime());
+        endedAt.replace(id, System.nanoTime());                 // not one that was not taken after all
+    }
+
+    /** Its request was not taken: the same one may come again. */
+    void untaken(String id) {
+        endedAt.remove(id);
     }
 
     /** Forgets what ended long ago. */
