The rig judges order per key: overlaps, inversions, twice, unanswered; relays for handing on

Ordered partitions are to be shown over processes by what workers and clients see. The rig's workers note start and end of each job with an entity by the rig's one clock; KeyJudge, pure, tells what was out of order where order can be known.

--- a/src/main/java/maplespread/lab/rig/GroupLinks.java
+++ b/src/main/java/maplespread/lab/rig/GroupLinks.java
@@ -99,6 +99,10 @@
         troubles[from][to] = trouble;
     }
 
+    synchronized Trouble get(int from, int to) {
+        return troubles[from][to];
+    }
+
     /** What all links do from now on. */
     public synchronized void all(Trouble trouble) {
         for (Trouble[] row : troubles) {
--- a/src/main/java/maplespread/lab/rig/Ledger.java
+++ b/src/main/java/maplespread/lab/rig/Ledger.java
@@ -9,8 +9,27 @@
 
 /** What the stand-ins saw for themselves: each order where it came to a worker, each answer at its client. */
 final class Ledger {
+    /** A job with a key at a worker. */
+    static final class Run {
+        private final String id;
+        private final String key;
+        private final long start = System.nanoTime();
+        private volatile long end = Long.MAX_VALUE;
+
+        private Run(String id, String key) {
+            this.id = id;
+            this.key = key;
+        }
+
+        void end() {
+            end = System.nanoTime();
+        }
+    }
+
     private final Map<String, AtomicInteger> orders = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> wrongs = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
+    final ConcurrentLinkedQueue<KeyJudge.Asked> asks = new ConcurrentLinkedQueue<>();    // jobs with a key
     final LongAdder asked = new LongAdder();
     final LongAdder served = new LongAdder();
     final LongAdder inAim = new LongAdder();
@@ -31,6 +50,17 @@
         }
     }
 
+    /** A job with a key has come to a worker whole. */
+    Run began(String id, String key) {
+        Run run = new Run(id, key);
+        runs.add(run);
+        return run;
+    }
+
+    List<KeyJudge.Ran> ran() {
+        return runs.stream().map(r -> new KeyJudge.Ran(r.id, r.key, r.start, r.end)).toList();
+    }
+
     void wrong(String what) {
         wrongs.add(what);
     }
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -9,6 +9,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import maplespread.lab.fleet.WorkerModel;
 
@@ -26,10 +28,16 @@
 
     /**
      * {@code told}: the count of dispatchers that their settings name, 0: the true one; {@code load}: jobs a
-     * second over all, 0: by capacity; {@code warmMs}: until a worker is warm.
+     * second over all, 0: by capacity; {@code warmMs}: until a worker is warm; {@code paced}: whether
+     * the rig's own clients send.
      */
     public record Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load,
-            long warmMs) {
+            long warmMs, boolean paced) {
+        public Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load,
+                long warmMs) {
+            this(dispatchers, workers, seed, told, operator, load, warmMs, true);
+        }
+
         public Plan(int dispatchers, int workers, long seed, int told, Operator operator, double load) {
             this(dispatchers, workers, seed, told, operator, load, WARM_MS);
         }
@@ -39,6 +47,7 @@
     static final String[] ORGS = {"acme", "brio", "cove"};
     static final double[] SHARES = {0.5, 0.3, 0.2};
     static final double MEAN_MS = 100;                           // of work
+    private static final String KEY = "1 00112233445566778899aabbccddeeff\n";
     private static final int SLOTS = 4;
     private static final double FALL = 4;
     private static final double COLD_FROM = 0.12;
@@ -49,6 +58,7 @@
     final List<RigWorker> workers = new ArrayList<>();
     final RigDiscovery discovery;
     final GroupLinks links;
+    final Relays relays;
     final RigClients clients;
     private final String[] versions;                             // of the dispatchers
     private final Doors doors = new Doors();
@@ -60,6 +70,7 @@
         this.plan = plan;
         random = new SplittableRandom(plan.seed());
         links = new GroupLinks(plan.dispatchers(), plan.seed());
+        relays = new Relays(this, doors);
         versions = new String[plan.dispatchers()];
         Arrays.fill(versions, "1");
         double capacity = 0;
@@ -115,6 +126,22 @@
             .replace("@", discovery.whole(d));
     }
 
+    /** The group's part of a dispatcher's operators' file: up to so many are electors, the first ones. */
+    String group(int d, String version, int electors, int periodMs, int ackMs) throws IOException {
+        String key = Files.writeString(folder.resolve("group.key"), KEY).toString();
+        List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < Math.min(4, plan.dispatchers()); i++) {
+            if (i != d) {
+                seeds.add("'" + links.address(i) + "'");
+            }
+        }
+        String all = IntStream.range(0, Math.min(electors, plan.dispatchers())).mapToObj(i -> "'n" + i + "'")
+            .collect(Collectors.joining(","));
+        return "'group':{'listen':'" + links.listen(d) + "','address':'" + links.address(d) + "','seeds':"
+            + seeds + ",'electors':[" + all + "],'key_files':['" + key + "'],'version':'" + version
+            + "','period_ms':" + periodMs + ",'ack_ms':" + ackMs + "}";
+    }
+
     /** Kills a dispatcher with no warning, or starts it again. */
     void kill(int d) throws InterruptedException {
         dispatchers.get(d).kill();
--- a/src/main/java/maplespread/lab/rig/RigClients.java
+++ b/src/main/java/maplespread/lab/rig/RigClients.java
@@ -53,7 +53,7 @@
             t.setDaemon(true);
             return t;
         });
-        pace = Doors.daemon("clients", this::pace);
+        pace = rig.plan.paced() ? Doors.daemon("clients", this::pace) : new Thread();
     }
 
     double rate() {
@@ -79,7 +79,7 @@
                 open.incrementAndGet();
                 threads.execute(() -> {
                     try {
-                        ask(id, first, org, order, work);
+                        ask(id, first, org, order, work, null);
                     } finally {
                         open.decrementAndGet();
                     }
@@ -124,21 +124,24 @@
         return -1;
     }
 
-    private void ask(String id, int first, int org, boolean order, double work) {
+    /** Asks for a job and waits for its answer; {@code key}: its entity, null: it has none. */
+    KeyJudge.Asked ask(String id, int first, int org, boolean order, double work, String key) {
         long start = System.nanoTime();
+        KeyJudge.Got got = KeyJudge.Got.EXCUSED;
         int d = front(first);
         rig.ledger.asked.increment();
         if (d < 0) {
             rig.ledger.excused.increment();                      // none is there
             ends.add(new End(System.nanoTime(), org, work, false));
-            return;
+            return new KeyJudge.Asked(id, key, order, start, System.nanoTime(), got);
         }
         ServeProcess to = rig.dispatchers.get(d);
         String lane = order ? "order" : "page";
         long us = Math.round(work * 1000);
         byte[] request = ("POST /" + lane + "/x?us=" + us + " HTTP/1.1\r\nHost: rig\r\nX-Txn: " + id
             + "\r\nX-Lane: " + lane + "\r\nX-Org: " + Rig.ORGS[org] + "\r\nX-Remaining-Ms: " + REMAINING_MS
-            + "\r\nX-Estimate: " + us + "\r\nContent-Length: 2\r\n\r\nhi").getBytes();
+            + "\r\nX-Estimate: " + us + (key == null ? "" : "\r\nX-Entity: " + key)
+            + "\r\nContent-Length: 2\r\n\r\nhi").getBytes();
         boolean inAim = false;
         HttpConnection link = idle(d);
         try {
@@ -153,7 +156,10 @@
                 link.send(request);
                 link.receive(parser, REMAINING_MS + SLACK_MS);
             }
-            inAim = answered(id, parser.head().status(), body.toString(), start, work);
+            int status = parser.head().status();
+            got = status == 200 ? KeyJudge.Got.DONE : "in-doubt".equals(parser.head().get("X-Order"))
+                ? KeyJudge.Got.DOUBT : KeyJudge.Got.REFUSED;
+            inAim = answered(id, status, body.toString(), start, work);
             if (link.pending()) {
                 rig.ledger.wrong(id + " got more than one answer");
             }
@@ -165,6 +171,7 @@
             if (to.struckSince(start) || over) {
                 rig.ledger.excused.increment();
             } else {
+                got = KeyJudge.Got.NOTHING;
                 rig.ledger.wrong(id + " got no answer from n" + d + " in " + (System.nanoTime() - start)
                     / 1_000_000 + " ms: " + e);
             }
@@ -175,6 +182,7 @@
             ends.add(new End(System.nanoTime(), org, work, inAim));
             inHand.decrementAndGet(d);
         }
+        return new KeyJudge.Asked(id, key, order, start, System.nanoTime(), got);
     }
 
     /** False: the connection ended before a byte of an answer, as one that was closed in between does. */
--- a/src/main/java/maplespread/lab/rig/RigWorker.java
+++ b/src/main/java/maplespread/lab/rig/RigWorker.java
@@ -18,6 +18,14 @@
     /** A job as it stands in the model: what the model says of it goes to its connection's thread. */
     private static final class Job {
         final LinkedBlockingQueue<String> news = new LinkedBlockingQueue<>();
+        Ledger.Run run;                                          // null: it has no key
+
+        void over(String state) {
+            if (run != null) {
+                run.end();                                       // before anybody can know of it
+            }
+            news.add(state);
+        }
     }
 
     final String name;
@@ -71,7 +79,11 @@
 
     private synchronized void step() {
         for (WorkerModel.Step<Job> s : model.advance(nowMs())) {
-            s.job().news.add(s.done() ? "done\",\"result\":\"ok" : "started");
+            if (s.done()) {
+                s.job().over("done\",\"result\":\"ok");
+            } else {
+                s.job().news.add("started");
+            }
         }
     }
 
@@ -80,7 +92,7 @@
         worst = worst();
         generation++;
         startedAtMs = System.currentTimeMillis();
-        model.restart(nowMs()).forEach(job -> job.news.add(""));
+        model.restart(nowMs()).forEach(job -> job.over(""));
     }
 
     synchronized void slow(double times) {
@@ -167,6 +179,8 @@
             if (mine != generation) {
                 return false;
             }
+            String key = head.get("X-Entity");
+            job.run = key == null ? null : ledger.began(id, key);
             String target = head.target();                       // ends with the work in microseconds
             model.submit(nowMs(), job, Long.parseLong(target.substring(target.indexOf('=') + 1)) / 1000.0);
         }
@@ -180,7 +194,12 @@
         way.send(link, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
         String state = "";
         while (!state.startsWith("done")) {
-            state = job.news.poll(HOLD_MS, TimeUnit.MILLISECONDS);
+            state = job.news.poll(job.run == null ? HOLD_MS : 1, TimeUnit.MILLISECONDS);
+            if (state == null && job.run != null) {              // a key's next job waits for this one's end
+                step();
+                state = "";
+                continue;
+            }
             if (state == null || state.isEmpty()) {
                 return false;
             }
