--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Callable;
 import maplespread.lab.AddressMeasure;
 import maplespread.lab.FleetMeasure;
+import maplespread.lab.PartitionMeasure;
 import maplespread.lab.RegistryMeasure;
 import maplespread.lab.ReleaseMeasure;
 import maplespread.lab.Report;
@@ -63,7 +64,7 @@
         description = "How many dispatchers' choices add up: cover, herd, cold work, shares, probes, worth.")
     static final class Fleet extends Part {
         /** What of the fleet; each a measurement by itself. */
-        enum What { all, release, starvation }
+        enum What { all, partition, release, starvation }
 
         @Option(names = "--part", defaultValue = "all",
             description = "One of ${COMPLETION-CANDIDATES}; all: how the choices add up (the default).")
@@ -71,6 +72,7 @@
 
         @Override void run(Report report) throws Exception {
             switch (what) {
+                case partition -> PartitionMeasure.run(quick, report);
                 case release -> ReleaseMeasure.run(quick, report);
                 case starvation -> StarvationMeasure.run(quick, report);
                 default -> FleetMeasure.run(quick, report);
--- a/src/main/java/maplespread/lab/rig/KeyJudge.java
+++ b/src/main/java/maplespread/lab/rig/KeyJudge.java
@@ -17,7 +17,7 @@
  * its key was sent came first, whoever sent them. So a client that waits for each answer has its own order,
  * and two clients theirs where they cannot have overlapped.
  */
-final class KeyJudge {
+public final class KeyJudge {
     /** A job as a worker had it, from when it had come whole until it had ended there. */
     record Ran(String id, String key, long start, long end) { }
 
@@ -28,12 +28,12 @@
     record Asked(String id, String key, boolean once, long sent, long answered, Got got) { }
 
     /**
-     * {@code words}: the first few of what is wrong. {@code ran}: attempts that came to workers; {@code again}:
-     * repeats of jobs that may be repeated, no wrong.
+     * {@code words}: the first few of what is wrong. {@code ran}: attempts that came to workers; {@code
+     * again}: repeats of jobs that may be repeated, no wrong.
      */
-    record Verdict(int overlaps, int inversions, int twice, int unanswered, int unrun, int doubts, int ran,
-            int again, List<String> words) {
-        int wrongs() {
+    public record Verdict(int overlaps, int inversions, int twice, int unanswered, int unrun, int doubts,
+            int ran, int again, List<String> words) {
+        public int wrongs() {
             return overlaps + inversions + twice + unanswered + unrun;
         }
     }
