--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -164,7 +164,7 @@
         Links links = new Links(() -> config, config::sizes);
         Service service = new Service(() -> config, dispatcher, new Branches(() -> config, links, dispatcher,
             figures), threads, config::sizes, figures, () -> !parting, () -> null, () -> parting,
-            () -> Long.MAX_VALUE, null);
+            () -> Long.MAX_VALUE, null, null);
         door = new Door();
         listener = new Listener(door, service, threads, threads);
         threads.execute(listener);
