--- /dev/null
+++ b/src/main/java/maplespread/group/SectionTooLarge.java
@@ -0,0 +1,14 @@
+package maplespread.group;
+
+import maplespread.faults.FleetError;
+
+/** A part's section of the agreed value does not fit into its room. */
+public final class SectionTooLarge extends FleetError {
+    private static final long serialVersionUID = 1;
+
+    SectionTooLarge(String part, int bytes, int most) {
+        super("the section " + part + " would have " + bytes + " bytes, of " + most + " at most",
+            "the section stays as it was; all other parts, and what makes this one smaller",
+            "end or remove what " + part + " no longer needs");
+    }
+}
--- a/src/main/java/maplespread/group/Sections.java
+++ b/src/main/java/maplespread/group/Sections.java
@@ -3,21 +3,39 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
+import java.nio.charset.StandardCharsets;
 
-/** The one value that the fleet agrees on is a JSON object with a text for each part that uses it. */
+/**
+ * The one value that the fleet agrees on is a JSON object with a text for each part that uses it. Each has a
+ * room of its own, so that one part which grows takes nothing from the others.
+ */
 public final class Sections {
+    /** Bytes of the release's section, as it stands in the value, and of each of two others. */
+    public static final int MOST_RELEASE = 24 * 1024, MOST = 11 * 1024;
+
     private Sections() { }
 
+    /** What a part's section may take in the value, quotes and escapes counted. */
+    public static int most(String part) {
+        return part.equals("release") ? MOST_RELEASE : MOST;
+    }
+
     /** A part's own text; empty where it has none. */
     public static String read(String value, String part) {
         JsonElement section = object(value).get(part);
         return section == null ? "" : section.getAsString();
     }
 
-    /** The value with a part's text in place of what it had. */
-    public static String write(String value, String part, String text) {
+    /** The value with a part's text in place of what it had; whoever calls has read the value just now. */
+    public static String write(String value, String part, String text) throws SectionTooLarge {
+        JsonElement section = new JsonPrimitive(text);
+        int bytes = section.toString().getBytes(StandardCharsets.UTF_8).length;
+        if (bytes > most(part)) {
+            throw new SectionTooLarge(part, bytes, most(part));
+        }
         JsonObject all = object(value);
-        all.addProperty(part, text);
+        all.add(part, section);
         return all.toString();
     }
 
