--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -129,6 +129,12 @@
 
     /** The group's part of a dispatcher's operators' file; the first of them are electors. */
     String group(int d, String version, int periodMs, int ackMs) throws IOException {
+        return group(d, IntStream.range(0, Math.min(ELECTORS, plan.dispatchers())).mapToObj(i -> "'n" + i + "'")
+            .collect(Collectors.joining(",")), version, periodMs, ackMs);
+    }
+
+    /** With these electors, by name in single quotes. */
+    String group(int d, String electors, String version, int periodMs, int ackMs) throws IOException {
         String key = Files.writeString(folder.resolve("group.key"), KEY).toString();
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < Math.min(4, plan.dispatchers()); i++) {
@@ -136,10 +142,8 @@
                 seeds.add("'" + links.address(i) + "'");
             }
         }
-        String all = IntStream.range(0, Math.min(ELECTORS, plan.dispatchers())).mapToObj(i -> "'n" + i + "'")
-            .collect(Collectors.joining(","));
         return "'group':{'listen':'" + links.listen(d) + "','address':'" + links.address(d) + "','seeds':"
-            + seeds + ",'electors':[" + all + "],'key_files':['" + key + "'],'version':'" + version
+            + seeds + ",'electors':[" + electors + "],'key_files':['" + key + "'],'version':'" + version
             + "','period_ms':" + periodMs + ",'ack_ms':" + ackMs + "}";
     }
 
