--- a/src/main/java/maplespread/cli/Measure.java
+++ b/src/main/java/maplespread/cli/Measure.java
@@ -68,10 +68,13 @@
         @Option(names = "--part", defaultValue = "all",
             description = "One of ${COMPLETION-CANDIDATES}; all: how the choices add up (the default).")
         private What what;
+        @Option(names = "--seed", defaultValue = "31",
+            description = "Of the faults, for release (default: 31).")
+        private long seed;
 
         @Override void run(Report report) throws Exception {
             switch (what) {
-                case release -> ReleaseMeasure.run(quick, report);
+                case release -> ReleaseMeasure.run(quick, seed, report);
                 case starvation -> StarvationMeasure.run(quick, report);
                 default -> FleetMeasure.run(quick, report);
             }
--- a/src/main/java/maplespread/lab/rig/ReleasePlay.java
+++ b/src/main/java/maplespread/lab/rig/ReleasePlay.java
@@ -33,6 +33,7 @@
     private final List<Thread> alone = new ArrayList<>();
     private final List<String> thrown = new ArrayList<>();
     private Thread storm;
+    private volatile String wanted = "DONE";                     // its end
     private int halts;
     private int asked;
 
@@ -109,11 +110,57 @@
         if (then != grants) {
             rig.ledger.wrong("leave was granted while halted: " + grants + ", then " + then);
         }
-        long late = Math.max(0, count.begunAt() - at) / 1_000_000;
+        long late = ms(count.begunAt() - at);
         call("/admin/release/go-on?why=looked", "");
         return late;
     }
 
+    /**
+     * One halt out of many: {@code heard}: from its call to the answer that a majority has it; from that
+     * answer on: {@code told}: until all consoles say it; {@code late}: until the last dispatcher began to
+     * leave; {@code back}: until nobody has leave any more but those who left. All in ms.
+     */
+    public record Halted(long heard, long told, long late, long back) { }
+
+    /** Halts a release of the dispatchers so long from now, and lifts that; begins one where none is on. */
+    public Halted haltOne(int number, long laterMs) throws IOException, InterruptedException {
+        await(() -> agreed("members") == plan.dispatchers + plan.workers, "all members known");
+        if (!deployer.phase().equals("RUNNING")) {
+            call("/admin/release", ("{'id':'h" + number + "','dispatchers':true,'steps':[" + plan.step + "]}")
+                .replace('\'', '"'));
+        }
+        Thread.sleep(laterMs);
+        long start = System.nanoTime();
+        call("/admin/release/halt?why=a+look", "");
+        long at = System.nanoTime();
+        List<ServeProcess> asks = new ArrayList<>(rig.dispatchers);
+        await(() -> asks.removeIf(p -> !p.serving() || says(p).contains("\"halt\": {")) && asks.isEmpty(),
+            "the halt at all consoles");
+        long told = System.nanoTime();
+        await(() -> {
+            JsonObject now = deployer.agreed();
+            return now != null && now.getAsJsonObject("agreed").has("halt")
+                && now.getAsJsonObject("agreed").getAsJsonObject("leaves").keySet().stream()
+                    .allMatch(m -> rig.dispatchers.get(Integer.parseInt(m.substring(1))).out());
+        }, "those that had leave to be called back");
+        Halted all = new Halted(ms(at - start), ms(told - at), ms(count.begunAt() - at),
+            ms(System.nanoTime() - at));
+        call("/admin/release/go-on?why=looked", "");
+        return all;
+    }
+
+    private static long ms(long nanos) {
+        return Math.max(0, nanos) / 1_000_000;
+    }
+
+    private static String says(ServeProcess p) {
+        try {
+            return p.call("GET", "/admin/release", "");
+        } catch (IOException down) {
+            return "";
+        }
+    }
+
     /** How many members, leaves or accidents are agreed; -1: not known now. */
     int agreed(String what) {
         JsonObject all = deployer.agreed();
@@ -144,7 +191,7 @@
                 throw new IllegalStateException(e);
             }
         }
-        return phase.equals("DONE");
+        return phase.equals(wanted);
     }
 
     private long mostNanos() {
@@ -172,6 +219,14 @@
         }
     }
 
+    /** Waits until dispatchers are changed too, and has all taken back. */
+    public void rollBack() throws IOException, InterruptedException {
+        await(() -> done() || IntStream.range(0, plan.dispatchers).anyMatch(d ->
+            rig.version(d).equals("2") && !rig.dispatchers.get(d).out()), "a dispatcher that is changed");
+        call("/admin/release/roll-back?why=no+good", "");
+        wanted = "ROLLED_BACK";
+    }
+
     /** Waits for its end; then all must be what it was to make of them. */
     public void end() throws IOException, InterruptedException {
         await(this::done, "the end of the release");
@@ -180,8 +235,8 @@
             await(this::done, "the end of the release, still");
         }
         for (int d = 0; d < plan.dispatchers && plan.agree; d++) {
-            if (!rig.version(d).equals("2")) {
-                rig.ledger.wrong("n" + d + " is not at the version of the release");
+            if (!rig.version(d).equals(wanted.equals("DONE") ? "2" : "1")) {
+                rig.ledger.wrong("n" + d + " is at version " + rig.version(d) + ", and it is " + wanted);
             }
         }
         rig.workers.stream().filter(RigWorker::first).forEach(w ->
@@ -225,7 +280,7 @@
                 IntStream.range(0, plan.dispatchers).filter(d -> !rig.dispatchers.get(d).out()).boxed()
                     .min(java.util.Comparator.comparing(d -> "n" + d)).ifPresent(storm::killSoon);
             }
-            boolean over = plan.agree ? deployer.phase().equals("DONE") : done();
+            boolean over = plan.agree ? deployer.phase().equals(wanted) : done();
             return !over && System.nanoTime() < end;
         }, gapMs);
     }
@@ -308,6 +363,11 @@
         return rig.wrongs();
     }
 
+    /** All links between dispatchers lose this share of the packets from now on. */
+    public void drop(double share) {
+        rig.links.all(new GroupLinks.Trouble(false, share, 0, 0, 0));
+    }
+
     /** Packets between dispatchers that were lost, repeated, and overtaken. */
     public long[] links() {
         return new long[] {rig.links.lost.sum(), rig.links.repeated.sum(), rig.links.overtaken.sum()};
--- a/src/test/java/maplespread/lab/rig/ReleaseProcessesTest.java
+++ b/src/test/java/maplespread/lab/rig/ReleaseProcessesTest.java
@@ -33,4 +33,22 @@
         assertEquals(List.of(), play.wrongs(), play.rig.ledger + "; logs in " + play.rig.folder());
         assertTrue(play.most()[0] > 0 && play.links()[0] > 0 && play.links()[1] > 0, "nothing was tried");
     }
+
+    /** Taken back when a dispatcher has been changed, while whoever drives is killed, with a second halt. */
+    @Test void whatWasChangedReturnsAndNobodyElseLeaves() throws Exception {
+        ReleasePlay play = new ReleasePlay(new ReleasePlay.Plan(5, 4, 9, 2, 2, 2, 2, 500, 30, true));
+        try (play) {
+            play.drop(0.1);
+            play.begin();
+            play.awaitDispatchers();
+            play.halt(10);
+            play.rollBack();
+            play.rig.kill(0);                                    // out by accident, or with its leave
+            play.halt(10);
+            play.rig.restart(0);
+            play.end();
+        }
+        assertEquals(List.of(), play.wrongs(), play.rig.ledger + "; logs in " + play.rig.folder());
+        assertTrue(play.most()[0] > 0 && play.links()[0] > 0, "nothing was tried");
+    }
 }
--- a/src/test/java/maplespread/net/ReleaseStoryTest.java
+++ b/src/test/java/maplespread/net/ReleaseStoryTest.java
@@ -156,6 +156,8 @@
     @Test void aReleaseDrainsOneAtATimeAndAHaltStopsIt() throws Exception {
         assertEquals(409, call(1, "POST /admin/release", "{\"id\":\"r1\"}").status(), "names nothing");
         assertEquals(200, call(1, "POST /admin/release", "{\"id\":\"r1\",\"dispatchers\":true}").status());
+        Said two = call(2, "POST /admin/release", "{\"id\":\"r2\",\"workers\":true}");
+        assertTrue(two.status() == 409 && two.text().contains("release r1 is on"), two.toString());
         int first = oneOut();
         assertEquals(1, shown(first, "/admin/release").getAsJsonArray("out").size());
         Said refused = post((first + 1) % N, "/admin/quiesce");
