Order survives one-way cuts, long tables and unread ones; stops are stored once

A member that electors hear but that hears none of them kept its slots for ever, unserved: it now wants none once no majority has answered it for gone_ms, and none under a table that it cannot read. A table of 1,000 rules did not fit into the agreed value beside the one before it: tables are kept packed. A stop could be proposed by two threads at once, of which the first to fail let the key go on: one thread stores each. A job whose client left before its turn came stayed open in the module. A handed on job's wait is told by the dispatcher that has its client, not twice.

--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -300,7 +300,7 @@
         }
         useful = true;
         faults = 0;
-        answer.taken(job, service.ends());
+        answer.taken(job, job.handedOn() ? null : service.ends());    // its wait began elsewhere
         try {
             service.transactions().execute(() -> {
                 try {
@@ -374,6 +374,11 @@
                     return;
                 }
                 go = mine;
+                if (answer.given()) {                            // its client has left meanwhile
+                    over = true;
+                    go.over(false);
+                    return;
+                }
             }
             while (true) {
                 if (!go.still()) {
@@ -382,7 +387,7 @@
                     lost(job, answer, go);
                     return;
                 }
-                Word word = answer.given() ? new Word.Left() : dispatcher.pick(job.transaction);
+                Word word = dispatcher.pick(job.transaction);
                 if (word instanceof Branch branch) {
                     if (branch(job, branch, answer, go)) {
                         over = true;
--- a/src/main/java/maplespread/caller/JobRequest.java
+++ b/src/main/java/maplespread/caller/JobRequest.java
@@ -132,6 +132,11 @@
             labels, fields, head.get(Turns.HANDED_BY), (transaction.deadlineUs() - nowUs) / 1000);
     }
 
+    /** Whether another dispatcher has the client. */
+    boolean handedOn() {
+        return head.get(Turns.HANDED_BY) != null;
+    }
+
     private static String firstPart(String target) {
         int end = 1;
         while (end < target.length() && "/?".indexOf(target.charAt(end)) < 0) {
--- a/src/main/java/maplespread/partition/client/Keeper.java
+++ b/src/main/java/maplespread/partition/client/Keeper.java
@@ -4,11 +4,9 @@
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.io.Closeable;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -66,8 +64,12 @@
 
     private record Seat(long run, String address) { }
 
-    /** The electors that a question went to. */
-    private record Asked(long number, Set<String> electors) {
+    /** The electors that a question went to, and those that have answered it. */
+    private record Asked(long number, Set<String> electors, Set<String> answered) {
+        Asked(long number, Collection<String> electors) {
+            this(number, Set.copyOf(electors), ConcurrentHashMap.newKeySet());
+        }
+
         boolean majority(Set<String> yes) {
             return 2 * yes.stream().filter(electors::contains).count() > electors.size();
         }
@@ -97,7 +99,6 @@
     private final Hearings hearings = new Hearings(Orders.now());      // guarded by itself
     private final Map<String, Seat> seats = new ConcurrentHashMap<>();
     private final Map<String, Table> compiled = new ConcurrentHashMap<>();
-    private final Set<String> storing = ConcurrentHashMap.newKeySet();
     private final Reading voted = new Reading();
     private final Reading known = new Reading();
     private final Semaphore places = new Semaphore(PLACES);
@@ -107,7 +108,8 @@
     private volatile String fileTable;
     private volatile boolean fileChanged;                        // its table is to be the fleet's
     private volatile boolean leaving;
-    private String unreadable = "";
+    private volatile String unreadable = "";
+    private volatile long answeredAt = Orders.now();             // by a majority, whatever it said
     private Owners told;                                         // what the log has
     private long emptyLife, emptySince;
     private volatile long hereAt;
@@ -118,7 +120,7 @@
         name = ground.config().get().name();
         fence = new FenceSettings(1, set.leaseMs(), set.drift());
         patience = new Hearings.Patience(set.silentMs(), set.goneMs());
-        fileTable = canonical(set.table());
+        fileTable = packed(set.table());
         orders = new Orders(name, fence, table(fileTable), ground.fleet(), ground.relay(), new Others());
         threads = List.of(daemon("partition", this::asks), daemon("partition turns", this::ticks),
             daemon("partition changes", this::changes));
@@ -154,22 +156,22 @@
 
     /** The file has been read anew: another table than before is to be the fleet's. */
     public void file(PartitionSettings next) {
-        String text = canonical(next.table());
+        String text = packed(next.table());
         if (!text.equals(fileTable)) {
             fileTable = text;
             fileChanged = true;
         }
     }
 
-    private static String canonical(String text) {
-        return JsonParser.parseString(text).toString();
+    private static String packed(String text) {
+        return Packed.of(JsonParser.parseString(text).toString());
     }
 
-    private Table table(String text) throws TableError {
-        Table known = compiled.get(text);
+    private Table table(String packed) throws TableError {
+        Table known = compiled.get(packed);
         if (known == null) {
-            known = PartitionSettings.read(text, ground.config().get(), List.of());
-            compiled.put(text, known);
+            known = PartitionSettings.read(Packed.text(packed), ground.config().get(), List.of());
+            compiled.put(packed, known);
         }
         return known;
     }
@@ -239,8 +241,13 @@
         return name + '#' + t.group().boot();
     }
 
+    /**
+     * Whether this one is to own slots. Not while it cannot be told what is agreed: electors that hear it,
+     * and that it does not hear, would leave its slots with it for ever. Nor with a table it cannot read.
+     */
     private boolean wants() {
-        return !leaving && ground.wants().getAsBoolean();
+        return !leaving && unreadable.isEmpty() && Orders.now() - answeredAt < set.goneMs()
+            && ground.wants().getAsBoolean();
     }
 
     private void ask(Ties t) {
@@ -251,13 +258,13 @@
         }
         List<String> electors = electors(t, v);
         Orders.Question q = orders.ask();
-        asked = new Asked(q.number(), new HashSet<>(electors));
+        asked = new Asked(q.number(), electors);
         Note ask = Note.ask(t.group().boot(), q, v == null ? 0 : v.epoch(), v == null ? 0
             : v.electorsNumber(), wants());
         byte[] bytes = ask.bytes();
         for (String e : electors) {
             if (e.equals(name)) {
-                granted(name, q.number(), grants(t, name, ask));
+                answered(name, q.number(), grants(t, name, ask));
             } else {
                 t.group().send(CHANNEL, e, bytes);
             }
@@ -294,7 +301,7 @@
         switch (n.kind()) {
             case ASK -> t.group().send(CHANNEL, from, Note.answer(t.group().boot(), n.number(),
                 grants(t, from, n)).bytes());
-            case ANSWER -> granted(from, n.number(), n.yes());
+            case ANSWER -> answered(from, n.number(), n.yes());
             case HEARD -> {
                 synchronized (hearings) {
                     hearings.told(Orders.now(), from, n.report());
@@ -325,9 +332,16 @@
         return owners != null && owners.grants(from + '#' + ask.run(), ask.epoch());
     }
 
-    private void granted(String elector, long number, boolean yes) {
+    private void answered(String elector, long number, boolean yes) {
         Asked to = asked;
-        if (yes && to.number == number) {
+        if (to.number != number) {
+            return;
+        }
+        to.answered.add(elector);
+        if (to.majority(to.answered)) {
+            answeredAt = Orders.now();
+        }
+        if (yes) {
             orders.granted(elector, number, to::majority);
         }
     }
@@ -387,6 +401,8 @@
         Result r = t.register().change(change, waitMs);
         if (r.kind() == Result.Kind.DECIDED) {
             learn(r.value());
+        } else if (r.kind() == Result.Kind.REFUSED) {
+            Event.of("partition.refused", "why", r.why().getMessage()).warn();
         }
         return r;
     }
@@ -435,11 +451,7 @@
         if (!done.isEmpty()) {
             propose(t, o -> o.confirm(member(t), done));
         }
-        for (String key : orders.stopping()) {
-            if (!storing.contains(key)) {
-                store(key, PROPOSE_MS);
-            }
-        }
+        orders.storeStops(PROPOSE_MS);
         if (fileChanged && orders.mayChange()) {
             String next = fileTable;
             long seen = orders.owners().tableSince();
@@ -468,19 +480,13 @@
     /** Has it stored that a key has stopped; false: that is not known. */
     private boolean store(String key, long waitMs) {
         Ties t = ties;
-        storing.add(key);
-        try {
-            Result r = t == null ? null : put(t, change(o -> o.stop(member(t), key)), waitMs);
-            Owners now = r == null || r.kind() != Result.Kind.DECIDED ? null : section(r.value());
-            boolean stored = now != null && now.stopped().contains(key);
-            if (!stored) {
-                Event.of("partition.stop_not_stored", "key", key).warn();
-                orders.notStored(key);
-            }
-            return stored;
-        } finally {
-            storing.remove(key);
+        Result r = t == null ? null : put(t, change(o -> o.stop(member(t), key)), waitMs);
+        Owners now = r == null || r.kind() != Result.Kind.DECIDED ? null : section(r.value());
+        boolean stored = now != null && now.stopped().contains(key);
+        if (!stored) {
+            Event.of("partition.stop_not_stored", "key", key).warn();
         }
+        return stored;
     }
 
     // ------------------------------------------------------------ calls
@@ -536,14 +542,8 @@
     }
 
     private Reply table(Ties t, Ask ask) throws FleetError {
-        String next;
-        try {
-            next = canonical(ask.body());
-        } catch (JsonParseException e) {
-            next = ask.body();                                   // the reader says what is wrong with it
-        }
-        String text = next;
-        PartitionSettings.read(text, ground.config().get(), ground.fleet().workers());
+        PartitionSettings.read(ask.body(), ground.config().get(), ground.fleet().workers());
+        String text = packed(ask.body());
         Owners known = orders.owners();
         if (!known.table().equals(text) && !orders.mayChange()) {
             throw new PartitionRefused(Reason.SETTLING, "the change of epoch " + known.tableSince()
@@ -597,7 +597,7 @@
             all.addProperty("slot", o.slotOf(key));
             all.add("owner", slots.get(o.slotOf(key)));
         }
-        all.add("table", JsonParser.parseString(o.table()));
+        all.add("table", JsonParser.parseString(Packed.text(o.table())));
         return GSON.toJson(all);
     }
 
--- a/src/main/java/maplespread/partition/client/Orders.java
+++ b/src/main/java/maplespread/partition/client/Orders.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -156,12 +157,13 @@
             try {
                 mine.remove(id);
                 queue.ended(now(), id, how);
-                stop = how == KeyQueue.Outcome.FAILED && queue.stopping().contains(key);
+                stop = how == KeyQueue.Outcome.FAILED && queue.stopping().contains(key)
+                    && storing.add(key);
                 due();
             } finally {
                 lock.unlock();
             }
-            if (stop && !others.stop(key, Math.max(1, visit.leftMs()))) {
+            if (stop && !stored(key, Math.max(1, visit.leftMs()))) {
                 return End.DOUBT;
             }
             return !ran ? End.NEVER_RAN : how == KeyQueue.Outcome.UNKNOWN ? End.DOUBT : End.ENDED;
@@ -200,6 +202,7 @@
     private final KeyQueue queue;
     private final Map<Long, Mine> mine = new HashMap<>();        // waiting or out
     private final Map<Transaction, Visit> open = new IdentityHashMap<>();
+    private final Set<String> storing = new HashSet<>();         // keys whose stop is under way
     private Fence fence;                                         // null: not in the group yet
     private String member = "";
     private Tables tables;                                       // null: none agreed on
@@ -579,17 +582,33 @@
         });
     }
 
-    /** Keys whose stop is to be stored. */
-    Set<String> stopping() {
-        return locked(queue::stopping);
+    /** Has the stops stored that nobody waits for. */
+    void storeStops(long waitMs) {
+        Set<String> keys = locked(() -> {
+            Set<String> all = queue.stopping();
+            all.removeIf(key -> !storing.add(key));
+            return all;
+        });
+        keys.forEach(key -> stored(key, waitMs));
     }
 
-    void notStored(String key) {
-        locked(() -> {
-            queue.notStored(now(), key);
-            due();
-            return null;
-        });
+    /** Has a stop stored, by one thread; where that is not known, the key goes on. */
+    private boolean stored(String key, long waitMs) {
+        boolean stored = false;
+        try {
+            stored = others.stop(key, waitMs);
+        } finally {
+            boolean goesOn = !stored;
+            locked(() -> {
+                storing.remove(key);
+                if (goesOn) {
+                    queue.notStored(now(), key);
+                    due();
+                }
+                return null;
+            });
+        }
+        return stored;
     }
 
     /** Slots that this member may send for at this moment. */
