Shutdown: a test that clients with jobs keep the listener open a while

Listener.wanted had no test of its own: a connection that only asked whether it is ready does not keep the listener, one that brought a job does.

--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -14,6 +14,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -287,6 +288,21 @@
         until("all are over", () -> listener.over() || listener.size() == 0);
     }
 
+    /** A listener with nobody connected is wanted where clients with jobs have just left. */
+    @Test
+    void whoBroughtJobsMayComeAgainSoon() throws Exception {
+        for (String request : List.of(REQUEST, Loopback.job("page", "w", 4000))) {
+            try (HttpConnection client = client()) {
+                send(client, request);
+                until("it is read", () -> bytesRead.get() >= request.length());
+                assertTrue(listener.wanted(0), "one is connected");
+            }
+            until("it has left", () -> listener.size() == 0);
+            assertEquals(!request.equals(REQUEST), listener.wanted(Loopback.LIMIT_MS * 1000), request);
+            assertTrue(!listener.wanted(0));
+        }
+    }
+
     /** Stopped twice, in service, in a drain, or beside the process that takes over. */
     @ParameterizedTest
     @ValueSource(strings = {"serving", "drained", "relieved"})
