--- a/src/test/java/maplespread/release/client/ReleasesTest.java
+++ b/src/test/java/maplespread/release/client/ReleasesTest.java
@@ -85,8 +85,8 @@
 
     private static String state(String leave, boolean halted) {
         String[] of = leave.split(":", -1);
-        return State.read(("{'release':{'plan':{'id':'r','from':'','to':'','dispatchers':true,'workers':false,"
-            + "'first':'workers','steps':[1]},'moves':'RUNNING','steps':[],'open':0},'leaves':{"
+        return State.read(("{'release':{'plan':{'id':'r','from':'','to':'','dispatchers':true,"
+            + "'workers':false,'first':'workers','steps':[1]},'moves':'RUNNING','steps':[],'open':0},'leaves':{"
             + (of.length < 4 ? "" : "'" + of[0] + "':{'number':" + of[1] + ",'run':" + of[2] + ",'release':'"
             + (of[3].isEmpty() ? "" : "r") + "','why':'" + of[3] + "'}") + "}"
             + (halted ? ",'halt':{'number':1,'by':'op','why':'x'}" : "") + "}").replace('\'', '"')).text();
