--- a/src/main/java/maplespread/partition/Owners.java
+++ b/src/main/java/maplespread/partition/Owners.java
@@ -56,6 +56,15 @@
         return new Owners(number, number, Set.of(), Map.of(), all, table, table, number, Set.of());
     }
 
+    /**
+     * The same tables and stopped keys, and nobody owns anything: for a value of which newer ones may be lost.
+     * To be written once all that was sent before is over; {@code number}: beyond those that there were.
+     */
+    public Owners again(long number) {
+        Owners bare = first(slots.size(), table, number);
+        return new Owners(number, number, Set.of(), Map.of(), bare.slots, table, table, number, stopped);
+    }
+
     public static Owners read(String text) {
         return GSON.fromJson(text, Owners.class);
     }
--- a/src/main/java/maplespread/partition/client/Keeper.java
+++ b/src/main/java/maplespread/partition/client/Keeper.java
@@ -348,11 +348,20 @@
 
     // ------------------------------------------------------------ the agreed value
 
-    private static Owners section(Value v) {
+    private static Owners written(Value v) {
         String text = Sections.read(v.text(), SECTION);
         return text.isEmpty() ? null : Owners.read(text);
     }
 
+    /**
+     * Null: nothing is agreed on. Numbers begin with that of the register's life, so a lower one is of an
+     * earlier life, which was founded anew since: some of what followed it may be lost.
+     */
+    private static Owners section(Value v) {
+        Owners o = written(v);
+        return o == null || o.version() < v.epoch() ? null : o;
+    }
+
     private synchronized void learn(Value v) {
         Owners next = known.read(v);
         Owners last = orders.owners();
@@ -472,8 +481,13 @@
         String text = fileTable;
         long hold = fence.holdMs(orders.longestRunMs());
         if (leads && now - emptySince >= hold) {
-            put(t, value -> section(value) != null ? value.text() : Sections.write(value.text(), SECTION,
-                Owners.first(set.slots(), text, value.epoch()).text()), PROPOSE_MS);
+            put(t, value -> {
+                Owners before = written(value);
+                Owners next = before == null ? Owners.first(set.slots(), text, value.epoch())
+                    : before.again(value.epoch());
+                return section(value) != null ? value.text()
+                    : Sections.write(value.text(), SECTION, next.text());
+            }, PROPOSE_MS);
         }
     }
 
--- a/src/test/java/maplespread/partition/OwnersTest.java
+++ b/src/test/java/maplespread/partition/OwnersTest.java
@@ -53,6 +53,18 @@
         assertThrows(IllegalArgumentException.class, () -> ten.members(again));
     }
 
+    /** A value that is begun anew keeps what operators have said, and comes after all that was. */
+    @Test
+    void aValueBegunAnewHasNoOwners() {
+        Owners o = Owners.first(8, "t").members(fleet(2)).table("u", 1);
+        Owners again = o.stop(o.slots().get(o.slotOf("k")).owner(), "k").again(1000);
+        assertEquals(Owners.first(8, "u", 1000).members(fleet(3)).slots(), again.members(fleet(3)).slots());
+        assertEquals(Set.of("k"), again.stopped());
+        assertTrue(again.slots().stream().allMatch(s -> s.owner().isEmpty() && s.leavers().isEmpty()));
+        assertEquals("u u 1000 1000 1000", again.table() + " " + again.before() + " " + again.version() + " "
+            + again.epoch() + " " + again.tableSince());
+    }
+
     @Test
     void leasesGoToMembersThatAreHeardAndKnowTheEpoch() {
         Owners o = Owners.first(8, "t").members(fleet(2));
