The rig writes the group's key once: a process read it while another's start rewrote it

Of 17 releases with restarts in a row one did not end: n3 had left, and its new process ended at once with 'group.key_files: must hold a number and a secret', as the start of another one had just emptied the file that all share. The play writes it once now. The halts' play also begins a release only where it knows that none is on.

--- a/src/main/java/maplespread/lab/rig/ReleasePlay.java
+++ b/src/main/java/maplespread/lab/rig/ReleasePlay.java
@@ -4,6 +4,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -46,7 +47,10 @@
     }
 
     private String operator(int d, String version, Rig of) throws IOException {
-        String key = Files.writeString(of.folder().resolve("group.key"), KEY).toString();
+        Path key = of.folder().resolve("group.key");
+        if (!Files.exists(key)) {                                // once: another one may be reading it
+            Files.writeString(key, KEY);
+        }
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < Math.min(4, plan.dispatchers); i++) {
             if (i != d) {
@@ -124,8 +128,14 @@
 
     /** Halts a release of the dispatchers so long from now, and lifts that; begins one where none is on. */
     public Halted haltOne(int number, long laterMs) throws IOException, InterruptedException {
-        await(() -> agreed("members") == plan.dispatchers + plan.workers, "all members known");
-        if (!deployer.phase().equals("RUNNING")) {
+        boolean[] on = new boolean[1];
+        await(() -> {
+            JsonObject now = deployer.agreed();
+            on[0] = now != null && now.get("phase").getAsString().equals("RUNNING");
+            return now != null && now.getAsJsonObject("agreed").getAsJsonObject("members").size()
+                == plan.dispatchers + plan.workers;
+        }, "all members known");
+        if (!on[0]) {
             call("/admin/release", ("{'id':'h" + number + "','dispatchers':true,'steps':[" + plan.step + "]}")
                 .replace('\'', '"'));
         }
