--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -55,7 +55,7 @@
     private static final long LIST_MS = 1500;                    // for the list, where another one serves
     private static final long SWIFT_MS = 500;                    // quiet so long, a connection may end
     private static final long QUIET_MS = 50;                     // between looks for these
-    private static final long AGAIN_MS = 250;                    // whose clients left may have new ones so soon
+    private static final long AGAIN_MS = 250;                    // after clients left new ones may come
     private static final long PART_MS = 1000;                    // of a drain, then this is enough:
     private static final long LATE_MS = 200;
     private static final long LAST_MS = 100;                     // for the last answers' way
--- a/src/main/java/maplespread/lab/rig/Relays.java
+++ b/src/main/java/maplespread/lab/rig/Relays.java
@@ -70,7 +70,8 @@
                 byte[] bytes = new byte[came.remaining()];
                 came.get(bytes);
                 Trouble t = rig.links.get(from, to);
-                TimeUnit.MILLISECONDS.sleep(t.lateMs() + (t.spreadMs() > 0 ? late.nextLong(t.spreadMs()) : 0));
+                TimeUnit.MILLISECONDS.sleep(t.lateMs()
+                    + (t.spreadMs() > 0 ? late.nextLong(t.spreadMs()) : 0));
                 while (rig.links.get(from, to).cut()) {
                     TimeUnit.MILLISECONDS.sleep(5);
                 }
--- a/src/main/java/maplespread/lab/rig/ReleasePlay.java
+++ b/src/main/java/maplespread/lab/rig/ReleasePlay.java
@@ -110,8 +110,14 @@
 
     /** Halts a release of the dispatchers so long from now, and lifts that; begins one where none is on. */
     public Halted haltOne(int number, long laterMs) throws IOException, InterruptedException {
-        await(() -> agreed("members") == plan.dispatchers + plan.workers, "all members known");
-        if (!deployer.phase().equals("RUNNING")) {
+        boolean[] on = new boolean[1];
+        await(() -> {
+            JsonObject now = deployer.agreed();
+            on[0] = now != null && now.get("phase").getAsString().equals("RUNNING");
+            return now != null && now.getAsJsonObject("agreed").getAsJsonObject("members").size()
+                == plan.dispatchers + plan.workers;
+        }, "all members known");
+        if (!on[0]) {
             call("/admin/release", ("{'id':'h" + number + "','dispatchers':true,'steps':[" + plan.step + "]}")
                 .replace('\'', '"'));
         }
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -129,13 +129,17 @@
 
     /** The group's part of a dispatcher's operators' file; the first of them are electors. */
     String group(int d, String version, int periodMs, int ackMs) throws IOException {
-        return group(d, IntStream.range(0, Math.min(ELECTORS, plan.dispatchers())).mapToObj(i -> "'n" + i + "'")
-            .collect(Collectors.joining(",")), version, periodMs, ackMs);
+        return group(d, IntStream.range(0, Math.min(ELECTORS, plan.dispatchers()))
+            .mapToObj(i -> "'n" + i + "'").collect(Collectors.joining(",")), version, periodMs, ackMs);
     }
 
     /** With these electors, by name in single quotes. */
-    String group(int d, String electors, String version, int periodMs, int ackMs) throws IOException {
-        String key = Files.writeString(folder.resolve("group.key"), KEY).toString();
+    synchronized String group(int d, String electors, String version, int periodMs, int ackMs)
+            throws IOException {
+        Path key = folder.resolve("group.key");
+        if (!Files.exists(key)) {                                // once: another one may be reading it
+            Files.writeString(key, KEY);
+        }
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < Math.min(4, plan.dispatchers()); i++) {
             if (i != d) {
--- a/src/main/java/maplespread/partition/Owners.java
+++ b/src/main/java/maplespread/partition/Owners.java
@@ -57,7 +57,8 @@
     }
 
     /**
-     * The same tables and stopped keys, and nobody owns anything: for a value of which newer ones may be lost.
+     * The same tables and stopped keys, and nobody owns anything: for a value of which newer ones may be
+     * lost.
      * To be written once all that was sent before is over; {@code number}: beyond those that there were.
      */
     public Owners again(long number) {
