A starved tenant is relieved: its weight rises within bounds, and nobody chases another

starvation.Relief (pure) makes weights of the verdicts that stand: a step a window up while a tenant is starved within its share, a fifth as fast down some windows after, later each time that this was too early. Who becomes starved while another's relief is up gets none for it; that relief is lowered at once and never rises beyond half again, unless the tenant is starved without it, too. Weights reach the module through the request's count that shares use; the module is as it was.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -147,6 +147,10 @@
             }
         }
 
+        @Override public void relief(double[] weights) {
+            dispatcher.relief(weights);
+        }
+
         @Override public boolean quiesce() {
             return lifecycle.quiesce();
         }
--- a/src/main/java/maplespread/config/OperatorReader.java
+++ b/src/main/java/maplespread/config/OperatorReader.java
@@ -13,6 +13,7 @@
 import maplespread.registry.RegistrySettings.Dialect;
 import maplespread.release.Limits;
 import maplespread.routes.RouteReader;
+import maplespread.starvation.Relief;
 import maplespread.subset.Cut;
 
 /**
@@ -62,10 +63,24 @@
             (int) in.whole("windows", 10, 3, 60), in.number("matters", 0.1, 0.01, 1),
             verdicts.equals("log") || verdicts.equals("both"),
             verdicts.equals("console") || verdicts.equals("both"),
-            in.whole("bytes_per_s", 200_000, 1_000, 100_000_000));
+            in.whole("bytes_per_s", 200_000, 1_000, 100_000_000),
+            in.has("relief") ? relief(in.part("relief")) : null);
         return verdicts.equals("off") ? null : set;
     }
 
+    private static Relief.Limits relief(Checked in) throws ConfigError {
+        double most = in.number("most", 2, 1.05, 4);
+        double step = in.number("step", 0.1, 0.01, 1);
+        double total = in.number("total", 4, 0.05, 100);
+        if (step > most - 1) {
+            throw in.error("step", "must be at most " + (most - 1) + ", what most allows above 1");
+        }
+        if (total < most - 1) {
+            throw in.error("total", "must be at least " + (most - 1) + ", what most allows one tenant");
+        }
+        return new Relief.Limits(most, step, total, true);
+    }
+
     private static GroupSettings group(Checked in) throws ConfigError {
         String listen = address(in, "listen", in.string("listen", null));
         String address = address(in, "address", in.string("address", listen));
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -152,7 +152,8 @@
     /**
      * A request taken by this node. {@code deadlineUs}: when its client stops waiting; {@code key}: what it
      * concerns, or null; {@code under}: the settings it was taken under, whose rules hold for it to its end;
-     * null: the present ones; {@code counts}: what of its worth it counts for under its tenant's share, 0..1.
+     * null: the present ones; {@code counts}: what of its worth it counts for: under its tenant's share,
+     * 0..1; where a starved tenant is relieved, up to 4.
      */
     public record Request(long id, int cls, int tenant, long deadlineUs, double workMs, double slots,
                           double memory, String key, Settings under, double counts) {
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -32,6 +32,7 @@
     private volatile Dispatch.Settings settings;                 // for transactions that carry none
     private final Logic logic;
     private Shares shares;                                       // null: all requests count alike
+    private volatile double[] relief = {};                       // what a starved tenant's count for more
     private final Map<Long, Transaction> open = new HashMap<>(); // until ended and no branch is out
     private final Map<String, Route> routes = new HashMap<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
@@ -166,6 +167,11 @@
         });
     }
 
+    /** What requests to come count for more, by tenant, 1 or more each; beyond its end: as they are. */
+    public void relief(double[] weights) {
+        relief = weights.clone();
+    }
+
     /** A watch could not be had or broke. */
     public void reportWatchLost() {
         locked(() -> guarded("listFailed", () -> logic.listFailed(nowUs())));
@@ -270,8 +276,14 @@
 
     // ------------------------------------------------------------ under the lock
 
-    /** What the request counts for, under its tenant's share. */
+    /** What the request counts for, under its tenant's share; what is beyond that is not relieved. */
     double counts(Transaction t) {
+        double share = share(t);
+        double[] more = relief;
+        return share < 1 || t.tenant < 0 || t.tenant >= more.length ? share : more[t.tenant];
+    }
+
+    private double share(Transaction t) {
         if (shares == null) {
             return 1;
         }
--- a/src/main/java/maplespread/lab/StarvationMeasure.java
+++ b/src/main/java/maplespread/lab/StarvationMeasure.java
@@ -3,12 +3,15 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import maplespread.lab.starvation.VirtualStarvation;
 import maplespread.lab.starvation.VirtualStarvation.Case;
 import maplespread.lab.starvation.VirtualStarvation.Plan;
+import maplespread.lab.starvation.VirtualStarvation.Relieved;
 import maplespread.lab.starvation.VirtualStarvation.Result;
 import maplespread.lab.starvation.Ways;
+import maplespread.starvation.Relief;
 import maplespread.starvation.Verdict.Kind;
 
 /**
@@ -26,21 +29,73 @@
         Ways.run(quick ? 1000 : 10_000, report);
         cases(quick ? 5 : 100, report);
         fair(quick ? 120 : 2700, report);
+        relief(quick ? 4 : 50, report);
+        lone(quick ? 300 : 14_400, report);
+    }
+
+    /** Tenants that are relieved: until nobody is starved, and that two that take from each other rest. */
+    private static void relief(int seeds, Report report) {
+        for (Case wrong : List.of(Case.ORDER, Case.TWO, Case.LATER, Case.CHASE)) {
+            for (boolean guarded : wrong == Case.CHASE ? new boolean[] {true, false} : new boolean[] {true}) {
+                List<Relieved> all = play(wrong, seeds, 300, p -> {
+                    p.tenants = 20;
+                    p.zones = p.kinds = p.alone = 1;
+                    p.dispatchers = 3;
+                    p.jobsPerS = 600;
+                    p.relief = new Relief.Limits(2, 0.1, 4, guarded);
+                }).stream().map(Result::relieved).toList();
+                double slowest = all.stream().mapToDouble(Relieved::afterS).max().orElse(0);
+                int turns = all.stream().mapToInt(Relieved::turns).max().orElse(0);
+                report.row("relief " + wrong.name().toLowerCase(java.util.Locale.ROOT) + " guarded "
+                    + guarded, "seeds", seeds, "slowest s", slowest, "turns", turns, "extra",
+                    all.stream().mapToDouble(Relieved::extra).max().orElse(0),
+                    "starved at most, s of 150", all.stream().mapToInt(Relieved::lateS).max().orElse(0));
+                report.aim("relief " + wrong + " given to others", all.stream().mapToInt(Relieved::others)
+                    .sum(), 0);
+                if (wrong == Case.CHASE) {
+                    report.aim("chase, guarded " + guarded + ": turns in 300 s, " + (guarded ? "most"
+                        : "below 8"), guarded ? turns : Math.max(0, 8 - turns), guarded ? 5 : 0);
+                } else {
+                    report.aim("relief " + wrong + " until nobody is starved, s", slowest,
+                        wrong == Case.ORDER ? 30 : 80);
+                }
+            }
+        }
+    }
+
+    /** Dispatchers of 200 that judge themselves on a fair day; each wrong word stands for 200. */
+    private static void lone(int seconds, Report report) {
+        for (boolean talks : new boolean[] {true, false}) {
+            double words = play(Case.FAIR, 16, seconds, p -> {
+                p.dispatchers = p.alone = 1;
+                p.of = 200;
+                p.jobsPerS = 100;
+                p.talks = talks;
+            }).stream().mapToDouble(Result::falsely).sum() / 200;
+            report.row("dispatchers that judge themselves, talk " + talks, "dispatcher days",
+                16.0 * seconds / DAY_S, "wrong words", words);
+            report.aim("wrong words of dispatchers that judge themselves, talk " + talks, words, 0);
+        }
     }
 
     private static List<Result> play(Case wrong, int seeds, int seconds) {
+        return play(wrong, seeds, seconds, p -> { });
+    }
+
+    private static List<Result> play(Case wrong, int seeds, int seconds, Consumer<Plan> also) {
         return IntStream.rangeClosed(1, seeds).parallel().mapToObj(seed -> {
             Plan p = new Plan();
             p.wrong = wrong;
             p.seed = seed;
             p.seconds = seconds;
+            also.accept(p);
             return new VirtualStarvation(p).run();
         }).toList();
     }
 
     /** Each case with its seeds: a row of the confusion table. */
     private static void cases(int seeds, Report report) {
-        for (Case wrong : Case.values()) {
+        for (Case wrong : Case.told()) {
             List<Result> all = play(wrong, seeds, VirtualStarvation.CALM + 14);
             Map<Kind, Integer> told = new EnumMap<>(Kind.class);
             for (Result r : all) {
--- a/src/main/java/maplespread/lab/starvation/VirtualStarvation.java
+++ b/src/main/java/maplespread/lab/starvation/VirtualStarvation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import maplespread.starvation.Judge;
+import maplespread.starvation.Relief;
 import maplespread.starvation.Site;
 import maplespread.starvation.Verdict;
 import maplespread.starvation.Verdict.Kind;
@@ -24,7 +25,9 @@
     public enum Case {
         FAIR(Kind.FINE), ORDER(Kind.STARVED), HOT_KEY(Kind.STARVED), SUBSET(Kind.STARVED),
         COLD_ZONE(Kind.STARVED), UNFAIR(Kind.STARVED), CROWD(Kind.CROWDED), GREEDY(Kind.BEYOND_SHARE),
-        LONG(Kind.LONG_JOBS), SILENT(Kind.NOT_KNOWN);
+        LONG(Kind.LONG_JOBS), SILENT(Kind.NOT_KNOWN),
+        /** Two at once, a second one later, one whose relief takes from the second: with relief only. */
+        TWO(Kind.STARVED), LATER(Kind.STARVED), CHASE(Kind.STARVED);
 
         /** What is to be told of whom it concerns. */
         public final Kind truth;
@@ -32,6 +35,11 @@
         Case(Kind truth) {
             this.truth = truth;
         }
+
+        /** Those that are told from one another. */
+        public static List<Case> told() {
+            return List.of(values()).subList(0, TWO.ordinal());
+        }
     }
 
     /** How large the fleet is, and what it does. */
@@ -43,6 +51,10 @@
         public long seed = 1;
         public double matters = 0.1;
         public int alone = 4;                                    // dispatchers that judge by themselves, too
+        public int of;                                           // dispatchers; more than are played: all is
+                                                                 // well with the others
+        public boolean talks = true;                            // false: who judges by itself hears of nobody
+        public Relief.Limits relief;                             // null: nobody is relieved
     }
 
     /**
@@ -51,9 +63,22 @@
      * wrong, the judges that look alone times the dispatchers they stand for.
      */
     public record Result(double namedAfterS, Map<Kind, Integer> told, double falsely, long jobs, long bytes,
-                         long windows, long viewBytes, double recordNs, double judgeMs, double spread) { }
+                         long windows, long viewBytes, double recordNs, double judgeMs, double spread,
+                         Relieved relieved) { }
+
+    /**
+     * {@code afterS}: from the harm's beginning until nobody was named starved any more, for the first time;
+     * {@code lateS}: seconds of the last half in which somebody was; {@code turns}: how often a weight that
+     * fell rose again; {@code extra}: the most above 1, all together; {@code others}: weights above 1 of
+     * tenants that met no harm; {@code ends}: the weights of the two at the end.
+     */
+    public record Relieved(double afterS, int lateS, int turns, double extra, int others,
+                           List<Double> ends) { }
 
     public static final int CALM = 12;
+    private static final int LATER_S = 60;
+    private static final double HELPS = 0.8;                     // more weight takes the harm away
+    private static final double TAKES = 0.4;                     // as much more than another, from that one
     private static final double DEADLINE_MS = 2000;
     private static final int WINDOW_MS = 1000;
     private static final int KEEP_MS = 10_000;
@@ -62,7 +87,9 @@
     private final SplittableRandom random;
     private final int places;
     private final double[] weights, cumulated, queue, slow;
-    private final int tenant, place, dispatcher;                 // whom it concerns
+    private final int tenant, second, place, dispatcher;         // whom it concerns
+    private Relief relief;                                       // null: nobody is relieved
+    private int nowS;
     private long id;
     private Site site;
 
@@ -85,6 +112,7 @@
             drawn = random.nextInt(plan.tenants);
         }
         tenant = drawn;
+        second = (drawn + 1) % plan.tenants;
         place = random.nextInt(places);
         dispatcher = 0;
     }
@@ -100,24 +128,37 @@
     }
 
     public Result run() {
-        double[] allowances = Arrays.stream(weights).map(w -> w * plan.jobsPerS * HEADROOM).toArray();
-        site = new Site(new double[] {DEADLINE_MS}, allowances, plan.dispatchers, plan.kinds);
+        boolean part = plan.of > plan.dispatchers;
+        int fleet = Math.max(plan.of, plan.dispatchers);
+        double all = plan.jobsPerS * fleet / plan.dispatchers;
+        double[] allowances = Arrays.stream(weights).map(w -> w * all * HEADROOM).toArray();
+        site = new Site(new double[] {DEADLINE_MS}, allowances, fleet, plan.kinds);
         Waits[] waits = new Waits[plan.dispatchers];
         Arrays.setAll(waits, d -> new Waits("d" + d, 1, WINDOW_MS, new double[] {DEADLINE_MS}));
         View view = new View(KEEP_MS, true);
-        Judge judge = new Judge(site, plan.matters);
+        Judge judge = part ? allWell() : new Judge(site, plan.matters);
         View[] aloneViews = new View[plan.alone];
         Judge[] alone = new Judge[plan.alone];
         Arrays.setAll(aloneViews, d -> new View(KEEP_MS, false));
-        Arrays.setAll(alone, d -> Judge.alone(site, plan.matters, judge));
+        Arrays.setAll(alone, d -> Judge.alone(site, plan.matters,
+            plan.talks ? judge : null));
         double named = Double.POSITIVE_INFINITY;
         double falsely = 0;
         long bytes = 0;
         long windows = 0;
         long recordNs = 0;
         long judgeNs = 0;
+        relief = plan.relief == null ? null : new Relief(plan.relief, KEEP_MS / WINDOW_MS);
+        double after = Double.POSITIVE_INFINITY;
+        int late = 0;
+        int turns = 0;
+        int others = 0;
+        double extra = 0;
+        double[] before = new double[plan.tenants];
+        boolean[] fell = new boolean[plan.tenants];
         for (int s = 0; s < plan.seconds; s++) {
             boolean wrong = plan.wrong != Case.FAIR && s >= CALM;
+            nowS = s;
             long t0 = cpuNs();
             second(s * 1000L, wrong, waits);
             long now = (s + 1) * 1000L;
@@ -129,7 +170,7 @@
                     aloneViews[d].age(now);
                     aloneViews[d].add(now, w);
                 }
-                if (plan.wrong != Case.SILENT || s < CALM || d < plan.dispatchers * 3 / 10) {
+                if (!part && (plan.wrong != Case.SILENT || s < CALM || d < plan.dispatchers * 3 / 10)) {
                     byte[] packet = maplespread.starvation.Exchange.encode(w, Integer.MAX_VALUE);
                     bytes += packet.length;
                     windows++;
@@ -137,19 +178,64 @@
                 }
             }
             long t1 = cpuNs();
-            falsely += wrong(judge.round(now, view), wrong, -1);
+            falsely += part ? 0 : wrong(judge.round(now, view), wrong, -1);
             judgeNs += cpuNs() - t1;
             for (int d = 0; d < plan.alone; d++) {
-                falsely += wrong(alone[d].round(now, aloneViews[d]), wrong, d) * plan.dispatchers
+                falsely += wrong(alone[d].round(now, aloneViews[d]), wrong, d) * (double) fleet
                     / plan.alone;
             }
+            if (relief != null) {
+                List<Verdict> stand = judge.standing();
+                relief.round(stand, judge.heardEnough());
+                boolean starved = stand.stream().anyMatch(v -> v.kind() == Kind.STARVED);
+                late += starved && s >= plan.seconds / 2 ? 1 : 0;
+                if (named < Double.POSITIVE_INFINITY && !starved && after == Double.POSITIVE_INFINITY) {
+                    after = s + 1 - CALM;
+                }
+                double sum = 0;
+                for (int t = 0; t < plan.tenants; t++) {
+                    double w = relief.weight(t);
+                    sum += w - 1;
+                    turns += fell[t] && w > before[t] ? 1 : 0;
+                    fell[t] = w < before[t] || fell[t] && w == before[t];
+                    before[t] = w;
+                    others += w > 1 && !concerns(t, place) ? 1 : 0;
+                }
+                extra = Math.max(extra, sum);
+            }
             if (wrong && named == Double.POSITIVE_INFINITY && count(judge, alone[dispatcher])
                     .getOrDefault(plan.wrong.truth, 0) > 0) {
                 named = s + 1 - CALM;
             }
         }
         return new Result(named, count(judge, alone[dispatcher]), falsely, id, bytes, windows, view.bytes(),
-            (double) recordNs / id, judgeNs / 1e6 / plan.seconds, judge.spread());
+            (double) recordNs / id, judgeNs / 1e6 / plan.seconds, judge.spread(),
+            new Relieved(after, late, turns, extra, others, List.of(weight(tenant), weight(second))));
+    }
+
+    private double weight(int t) {
+        return relief == null ? 1 : relief.weight(t);
+    }
+
+    /** What is left of its harm, as its jobs count for more; from 0 to 1. */
+    private double harm(int t) {
+        double left = switch (plan.wrong) {
+            case CHASE -> t == tenant ? 1 - (weight(t) - weight(second)) / TAKES
+                : (weight(tenant) - weight(t)) / TAKES;
+            case LATER -> t == second && nowS < CALM + LATER_S ? 0 : 1 - (weight(t) - 1) / HELPS;
+            default -> 1 - (weight(t) - 1) / HELPS;
+        };
+        return Math.max(0, Math.min(1, left));
+    }
+
+    /** A fleet that is heard and in which nobody asks too much. */
+    private Judge allWell() {
+        Judge judge = new Judge(new Site(site.deadlinesMs(), new double[0], 1, plan.kinds), plan.matters);
+        Waits waits = new Waits("all", 1, WINDOW_MS, site.deadlinesMs());
+        View view = new View(KEEP_MS, true);
+        view.add(0, waits.close(0));
+        judge.round(0, view);
+        return judge;
     }
 
     /** What stands of whom it concerns. */
@@ -177,6 +263,7 @@
             case COLD_ZONE -> t == tenant && p / plan.kinds == place / plan.kinds;
             case UNFAIR -> t == tenant && p == 0;
             case GREEDY, LONG -> t == tenant;
+            case TWO, LATER, CHASE -> (t == tenant || t == second) && p == place;
         };
     }
 
@@ -197,7 +284,8 @@
         for (Verdict v : verdicts) {
             boolean ok = v.kind() == Kind.FINE || v.kind() == Kind.NOT_KNOWN;
             if (begun && !ok) {
-                boolean about = v.tenant() == tenant || plan.wrong == Case.CROWD && v.tenant() == Verdict.ALL;
+                boolean about = v.tenant() == tenant || plan.wrong == Case.CROWD && v.tenant() == Verdict.ALL
+                    || v.tenant() == second && !Case.told().contains(plan.wrong);
                 boolean there = by >= 0 ? plan.wrong != Case.UNFAIR || by == dispatcher
                     : plan.wrong == Case.UNFAIR || concerns(v.place());  // who looks alone sees no place
                 ok = about && there && v.kind() == plan.wrong.truth;
@@ -246,7 +334,8 @@
             refused = 0.05;
         }
         switch (now) {
-            case ORDER, COLD_ZONE -> wait += 0.35 * DEADLINE_MS * (0.5 + random.nextDouble());
+            case ORDER, COLD_ZONE -> wait += harm(t) * 0.35 * DEADLINE_MS * (0.5 + random.nextDouble());
+            case TWO, LATER, CHASE -> refused += 0.18 * harm(t);
             case HOT_KEY -> {
                 wait += random.nextInt(2) == 0 ? 0.5 * DEADLINE_MS * (0.5 + random.nextDouble()) : 0;
                 refused = 0.2;
--- a/src/main/java/maplespread/parts/Host.java
+++ b/src/main/java/maplespread/parts/Host.java
@@ -15,6 +15,9 @@
     /** What a part says of the settings has changed: the module is given them anew. */
     void settle();
 
+    /** What requests count for more, by tenant, from 1 up; tenants beyond its end: as they are. */
+    void relief(double[] weights);
+
     /** Sends clients away; false outside of service. */
     boolean quiesce();
 
--- a/src/main/java/maplespread/parts/Parts.java
+++ b/src/main/java/maplespread/parts/Parts.java
@@ -34,7 +34,7 @@
             }
         }
         if (operator.starvation() != null) {
-            all.add(new StarvationPart(operator.starvation(), config, group));
+            all.add(new StarvationPart(operator.starvation(), config, group, host));
         }
         if (config.console() != null && config.tmp() != null) {
             upgrade = new UpgradePart(config, host);
--- a/src/main/java/maplespread/parts/StarvationPart.java
+++ b/src/main/java/maplespread/parts/StarvationPart.java
@@ -29,11 +29,11 @@
     private final Thread thread;
     private boolean listens;
 
-    StarvationPart(StarvationSettings set, Config config, GroupPart group) {
+    StarvationPart(StarvationSettings set, Config config, GroupPart group, Host host) {
         this.set = set;
         this.group = group;
         name = config.name();
-        watch = new Watch(set, config, group != null, System.currentTimeMillis());
+        watch = new Watch(set, config, group != null, System.currentTimeMillis(), host::relief);
         thread = new Thread(null, this::run, "starvation", STACK);
         thread.setDaemon(true);
     }
--- a/src/main/java/maplespread/starvation/Judge.java
+++ b/src/main/java/maplespread/starvation/Judge.java
@@ -535,6 +535,11 @@
         return known.contains(new Subject(tenant, cls, place)) ? Kind.FINE : Kind.NOT_KNOWN;
     }
 
+    /** Whether enough was heard in the last round for its verdicts to be believed. */
+    public boolean heardEnough() {
+        return enough;
+    }
+
     /** How much wider than by chance the last round's comparisons spread. */
     public double spread() {
         return spread;
--- a/src/main/java/maplespread/starvation/client/Watch.java
+++ b/src/main/java/maplespread/starvation/client/Watch.java
@@ -18,6 +18,7 @@
 import maplespread.starvation.Exchange;
 import maplespread.starvation.Judge;
 import maplespread.starvation.NotAWindow;
+import maplespread.starvation.Relief;
 import maplespread.starvation.Site;
 import maplespread.starvation.Verdict;
 import maplespread.starvation.View;
@@ -47,17 +48,27 @@
     private Site site;
     private List<Scope> scopes;                                  // the fleet, then this dispatcher
     private final boolean talks;
+    private final Consumer<double[]> weights;
+    private Relief relief;                                       // null: nobody is relieved
     private long run, jobs;
     private volatile Map<String, Integer> places = Map.of();     // by worker
-    private volatile List<Shown> standing = List.of();
+    private volatile Told standing = new Told(List.of(), List.of());
 
     /** A verdict and whose view it is from. */
     public record Shown(String scope, Verdict verdict) { }
 
-    /** {@code talks}: other dispatchers' windows are to come. */
-    public Watch(StarvationSettings set, Config config, boolean talks, long run) {
+    /** All that stands: verdicts, and what the jobs of tenants that are relieved count for. */
+    public record Told(List<Shown> verdicts, List<Relief.Weight> relief) { }
+
+    /**
+     * {@code talks}: other dispatchers' windows are to come; {@code weights}: hears what a tenant's requests
+     * count for, whenever that changes.
+     */
+    public Watch(StarvationSettings set, Config config, boolean talks, long run,
+            Consumer<double[]> weights) {
         this.set = set;
         this.talks = talks;
+        this.weights = weights;
         this.run = run;
         name = config.name();
         config(config);
@@ -81,6 +92,10 @@
         boolean one = then.processes() == 1;
         Judge fleet = talks && !one ? new Judge(then, set.matters()) : null;
         int all = Math.max(1, next.names().zones().size()) * then.kinds();
+        if (set.relief() != null) {
+            relief = new Relief(set.relief(), set.windows());
+            weights.accept(new double[0]);
+        }
         scopes = new ArrayList<>();
         if (fleet != null) {
             scopes.add(new Scope("fleet", new View(keep, true), fleet));
@@ -163,7 +178,9 @@
         List<Scope> scopes;
         IntFunction<String> tenants, classes, zones, kinds;
         Site site;
+        Relief relief;
         synchronized (this) {
+            relief = this.relief;
             own = waits.close(now);
             scopes = this.scopes;
             site = this.site;
@@ -193,11 +210,28 @@
             }
             scope.judge.standing().forEach(v -> stand.add(new Shown(scope.name, v)));
         }
-        standing = List.copyOf(stand);
+        if (relief != null) {
+            relieve(relief, scopes.get(0), site.allowancesPerS().length, tenants);
+        }
+        standing = new Told(List.copyOf(stand), relief == null ? List.of() : relief.weights());
+    }
+
+    /** By the fleet's view, or by this dispatcher's where it is alone: all others see the same. */
+    private void relieve(Relief relief, Scope scope, int count, IntFunction<String> tenants) {
+        List<Relief.Change> changes = relief.round(scope.judge.standing(), scope.judge.heardEnough());
+        for (Relief.Change c : changes) {
+            Event.write(c.what() != Relief.Change.What.ENDED, "starvation.relief",
+                "relief", c.what().name().toLowerCase(java.util.Locale.ROOT),
+                "tenant", tenants.apply(c.tenant()), "weight", Math.round(c.weight() * 100) / 100.0,
+                "for", c.victim() == Verdict.ALL ? null : tenants.apply(c.victim()));
+        }
+        double[] all = new double[count];
+        java.util.Arrays.setAll(all, relief::weight);
+        weights.accept(all);
     }
 
-    /** All that stand. */
-    public List<Shown> standing() {
+    /** All that stands. */
+    public Told standing() {
         return standing;
     }
 
--- a/src/test/java/maplespread/config/OperatorReaderTest.java
+++ b/src/test/java/maplespread/config/OperatorReaderTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import maplespread.registry.RegistrySettings;
 import maplespread.release.Limits;
+import maplespread.starvation.Relief;
 import maplespread.subset.Cut;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -39,9 +40,11 @@
         assertNull(read("{}").subset());
         assertTrue(read("{'shares':{'beyond':'give_way'}}").fair() && !read("{'shares':{}}").fair());
         assertEquals(new Cut.Wish(10, 20), read("{'subset':{}}").subset());
-        assertEquals(new StarvationSettings(1000, 10, 0.1, true, false, 200_000),
+        assertEquals(new StarvationSettings(1000, 10, 0.1, true, false, 200_000, null),
             read("{'starvation':{}}").starvation());
         assertNull(read("{'starvation':{'verdicts':'off'}}").starvation());
+        assertEquals(new Relief.Limits(2, 0.1, 4, true), read("{'starvation':{'relief':{}}}").starvation()
+            .relief());
         assertEquals(Operator.NONE, OperatorReader.file(null));
     }
 
@@ -76,6 +79,12 @@
         "{'form':'json'}           | {'form':'json'},'subset':{'leats':5} | subset.leats: is not known; did",
         "{'form':'json'}           | {'form':'json'},'shares':{'beyond':'all'} | shares.beyond: must be one",
         "{'form':'json'}           | {'form':'json'},'starvation':{'matters':2} | starvation.matters: must",
+        "{'form':'json'}           | {'form':'json'},'starvation':{'relief':{'most':9}} "
+            + "| starvation.relief.most: must",
+        "{'form':'json'}           | {'form':'json'},'starvation':{'relief':{'step':1,'most':1.5}} "
+            + "| starvation.relief.step: must be at most 0.5",
+        "{'form':'json'}           | {'form':'json'},'starvation':{'relief':{'total':0.5}} "
+            + "| starvation.relief.total: must be at least 1.0",
         "{'form':'json'}           | {'form':'json'},'starvation':{'window':2} | starvation.window: is not",
         "{'form':'json'}           | {'form':'xml'}       | log.form: must be one of",
         "{'form':'json'}           | 3                    | log: must be an object",
--- a/src/test/java/maplespread/starvation/JudgeTest.java
+++ b/src/test/java/maplespread/starvation/JudgeTest.java
@@ -98,7 +98,7 @@
     }
 
     @Test void eachCaseIsToldForWhatItIs() {
-        for (Case wrong : Case.values()) {
+        for (Case wrong : Case.told()) {
             IntStream.rangeClosed(1, 3).forEach(seed -> {
                 Result r = new VirtualStarvation(plan(wrong, seed)).run();
                 String what = wrong + " " + seed + ": " + r;
