--- a/src/main/java/maplespread/starvation/Judge.java
+++ b/src/main/java/maplespread/starvation/Judge.java
@@ -27,7 +27,7 @@
     /** Jobs of a tenant in a place below which nothing is said. */
     static final int FEW = 5;
     private static final int FEW_OTHERS = 20;
-    private static final double ALPHA = 1e-4;                    // a round
+    private static final double ALPHA = 1e-4;                    // a round of all that judge
     private static final double WEAK = 0.01;                     // while it stands
     private static final int ENTER = 2, LEAVE = 3;               // rounds
     private static final int FOR_SPREAD = 30;                    // comparisons that tell of the spread
@@ -90,6 +90,7 @@
     private List<Test> tests = List.of();
     private final boolean alone;
     private final Judge fleet;                                   // knows who asks too much; null: nobody does
+    private final double limit;                                  // of what is called chance, a round
 
     /** {@code matters}: what share of the deadline a wait must be longer by to be worth a word. */
     public Judge(Site site, double matters) {
@@ -101,6 +102,8 @@
         this.matters = matters;
         this.alone = alone;
         this.fleet = fleet;
+        // Each dispatcher that judges itself is a family of comparisons of its own: together they are one.
+        limit = alone ? ALPHA / site.processes() : ALPHA;
     }
 
     /**
@@ -255,7 +258,7 @@
         all.forEach(t -> t.chance = t.sum.chance(spread));
         Test[] order = all.toArray(new Test[0]);
         Arrays.sort(order, (a, b) -> Double.compare(a.chance, b.chance));
-        for (int i = 0; i < order.length && order[i].chance <= ALPHA / (order.length - i); i++) {
+        for (int i = 0; i < order.length && order[i].chance <= limit / (order.length - i); i++) {
             order[i].clear = true;
         }
     }
@@ -272,7 +275,7 @@
         double beyond = excess.getOrDefault(t.of.tenant, 0.0);
         // What is beyond its share may wait: what is left, its best jobs, must be worse off, too.
         boolean within = beyond == 0
-            || t.trimmed.chance(spread) <= ALPHA / tests.size() && t.trimmed.effect() >= matters;
+            || t.trimmed.chance(spread) <= limit / tests.size() && t.trimmed.effect() >= matters;
         double elsewhere = Double.NaN;
         if (t.of.place >= 0) {
             Sum own = elsewhere(t.of, places.get((long) t.of.tenant << 32 | t.of.cls));
@@ -286,7 +289,7 @@
         boolean guess = alone && site.processes() > 1;
         if (guess && fleet != null && fleet.enough) {
             within = beyond < GREEDY / 2;
-        } else if (guess && within && beyond > 0) {
+        } else if (guess && beyond > 0 && (within || beyond < 2 * GREEDY)) {
             return;                                              // one or the other: better no word
         }
         Kind kind = within ? Kind.STARVED : Kind.BEYOND_SHARE;
@@ -401,7 +404,7 @@
             return;
         }
         double full = area / jobs / tau(g.cls);
-        boolean clear = sum.effect() >= matters && sum.chance(spread) <= ALPHA || full >= FULL;
+        boolean clear = sum.effect() >= matters && sum.chance(spread) <= limit || full >= FULL;
         boolean half = sum.effect() >= matters / 2 && sum.chance(spread) <= WEAK || full >= FULL / 2 && clear;
         Subject of = new Subject(Verdict.ALL, g.cls, g.place);
         known.add(of);
--- a/src/test/java/maplespread/starvation/JudgeTest.java
+++ b/src/test/java/maplespread/starvation/JudgeTest.java
@@ -161,6 +161,57 @@
         assertEquals(0, named);
     }
 
+    /** What ten jobs tell a fleet, one of many dispatchers that judge themselves may not say on its own. */
+    @Test void whoJudgesAloneAmongManyNeedsMore() {
+        int[] from = new int[3];                                 // refused of ten that make a verdict
+        for (int refused = 10; refused > 0; refused--) {
+            Judge[] judges = {
+                new Judge(new Site(new double[] {2000}, new double[30], 1, 1), 0.1),
+                Judge.alone(new Site(new double[] {2000}, new double[30], 1, 1), 0.1, null),
+                Judge.alone(new Site(new double[] {2000}, new double[30], 200, 1), 0.1, null)};
+            for (int round = 0; round < 3; round++) {
+                View view = new View(500, false);
+                Waits waits = new Waits("a", 1, 1000, new double[] {2000});
+                for (int i = 0; i < 300; i++) {
+                    waits.taken(0, i, i % 30, 0, 0, 10);
+                    waits.ended(30 + i % 41, i, 0, i % 30 == 7 && i / 30 < refused ? Waits.End.REFUSED
+                        : Waits.End.SERVED);
+                }
+                view.add(round, waits.close(1000));
+                for (Judge judge : judges) {
+                    judge.round(round, view);
+                }
+            }
+            for (int j = 0; j < judges.length; j++) {
+                from[j] = judges[j].of(7, 0, 0) == Kind.STARVED ? refused : from[j];
+            }
+        }
+        assertTrue(from[0] > 0 && from[1] == from[0] && from[2] > from[0], java.util.Arrays.toString(from));
+    }
+
+    /** Rows: whether it hears of the fleet; then what an unfair dispatcher says, and a fair one. */
+    @Test void oneThatJudgesItselfNamesWhoIsStarvedThere() {
+        for (boolean talks : new boolean[] {true, false}) {
+            for (Case wrong : new Case[] {Case.UNFAIR, Case.FAIR}) {
+                int named = 0;
+                for (int seed = 1; seed <= 10; seed++) {
+                    Plan p = new Plan();
+                    p.wrong = wrong;
+                    p.seed = seed;
+                    p.dispatchers = 1;
+                    p.alone = 1;
+                    p.of = 200;
+                    p.jobsPerS = 200;
+                    p.talks = talks;
+                    Result r = new VirtualStarvation(p).run();
+                    assertEquals(0, r.falsely(), wrong + " " + seed);
+                    named += r.told().getOrDefault(Kind.STARVED, 0);
+                }
+                assertTrue(wrong == Case.UNFAIR ? named >= 7 : named == 0, wrong + " " + talks + " " + named);
+            }
+        }
+    }
+
     /** A starved tenant with much of a place's traffic makes no crowd of the place. */
     @Test void oneTenantIsNoCrowd() {
         Judge judge = new Judge(new Site(new double[] {2000}, new double[9], 1, 1), 0.1);
