A job handed to an owner that is gone is in doubt at once, not at its deadline

A job that had been handed to an owner which then froze or was cut off was answered 502 in-doubt only at its own deadline, though the agreed value had long given its slot to another. It is now answered when the value has that owner as a leaver that had been silent; an owner that drains is not, as its answers still come.

--- a/src/main/java/maplespread/partition/client/Orders.java
+++ b/src/main/java/maplespread/partition/client/Orders.java
@@ -60,7 +60,9 @@
         final long deadline;
         volatile boolean left;
         Mine waits;                                              // in a line; null: in none
-        String to;                                               // where it is to be handed on
+        String to;                                               // where it is handed on; null: nowhere
+        String owner;                                            // that is there, of this slot
+        int slot;
         long epoch;                                              // under which it is
         int tries;
 
@@ -301,6 +303,8 @@
                         continue;                                // it moved meanwhile: taken anew
                     }
                     v.to = own || slot.owner().isEmpty() ? null : others.address(slot.owner());
+                    v.owner = slot.owner();
+                    v.slot = place;
                     v.epoch = owners.epoch();
                     why = own || slot.owner().isEmpty() ? why : "moved";
                 }
@@ -487,6 +491,17 @@
 
     /** A value that was agreed on, with its tables; false: it is not news. */
     boolean learned(Owners next, Table now, Table before) {
+        boolean news = took(next, now, before);
+        if (news) {
+            // Silent, and now gone: its answers are in doubt, whether waited for or not.
+            locked(() -> open.values().stream().filter(v -> v.to != null && v.slot < next.slots().size()
+                && next.slots().get(v.slot).leavers().getOrDefault(v.owner, 0L) > 0).toList())
+                .forEach(relay::cancel);
+        }
+        return news;
+    }
+
+    private boolean took(Owners next, Table now, Table before) {
         return locked(() -> {
             long at = now();
             long runsMs = Tables.longestRunMs(now, before);
