--- a/src/main/java/maplespread/lab/rig/RigClients.java
+++ b/src/main/java/maplespread/lab/rig/RigClients.java
@@ -27,6 +27,7 @@
     private static final long SLACK_MS = 1500;                   // this process may not run in time either
     private static final int AIM_MS = 500;
     private static final int STRETCH = 2;
+    private static final long FORETOLD_US = 20_000;              // at most, of a key: heads run over
 
     /** How one request ended, for figures over time. */
     record End(long atNanos, int org, double work, boolean inAim) { }
@@ -140,7 +141,8 @@
         long us = Math.round(work * 1000);
         byte[] request = ("POST /" + lane + "/x?us=" + us + " HTTP/1.1\r\nHost: rig\r\nX-Txn: " + id
             + "\r\nX-Lane: " + lane + "\r\nX-Org: " + Rig.ORGS[org] + "\r\nX-Remaining-Ms: " + REMAINING_MS
-            + "\r\nX-Estimate: " + us + (key == null ? "" : "\r\nX-Entity: " + key)
+            + "\r\nX-Estimate: " + (key == null ? us : Math.min(us, FORETOLD_US))
+            + (key == null ? "" : "\r\nX-Entity: " + key)
             + "\r\nContent-Length: 2\r\n\r\nhi").getBytes();
         boolean inAim = false;
         HttpConnection link = idle(d);
