--- a/src/test/java/maplespread/cli/CliTest.java
+++ b/src/test/java/maplespread/cli/CliTest.java
@@ -69,6 +69,8 @@
             "deploy/operator.json"));
         assertTrue(out.toString().contains("registry.endpoints"), out.toString());
         assertTrue(out.toString().contains("10 dispatchers a worker, at least 20 workers"), out.toString());
+        assertEquals(0, run("check", "--config", "example/config.json", "--operator",
+            "deploy/operator-order.json"), out.toString());
         Path bad = Files.writeString(dir.resolve("o.json"), "{\"registy\":{}}");
         assertEquals(2, run("check", "--operator", bad.toString()));
         assertTrue(out.toString().contains("registy: is not known; did you mean registry?"), out.toString());
