A dispatcher that stood still blames no place, and jobs that end together are no excess

One that was stopped (SIGSTOP) and went on told all jobs that had waited for itself, and so places were called crowded; and as jobs are counted when they end, a deadline's worth that ended at once made tenants "beyond their share" who asked no more than before.

A window closed later than three of its lengths after the one before is left out, with what was open in it. What comes at once within the longest deadline is no excess, instead of within a second.

--- a/src/main/java/maplespread/starvation/Judge.java
+++ b/src/main/java/maplespread/starvation/Judge.java
@@ -226,6 +226,7 @@
         Map<Integer, Double> all = new HashMap<>();
         double seconds = view.seconds(heard);
         int tenants = site.allowancesPerS().length;
+        double slackMs = Arrays.stream(site.deadlinesMs()).max().orElse(1000);
         double rates = 0;
         for (int t = 0; t < tenants; t++) {
             rates += site.allowance(t) > 0 ? view.jobs(t) / seconds : 0;
@@ -236,7 +237,7 @@
             double part = Math.max((double) heard / site.processes(),
                 others > 0 ? Math.min(1, (rates - rate) / others) : 0);
             double due = site.allowance(t) * part;
-            double beyond = due > 0 ? view.beyond(t, due) : 0;
+            double beyond = due > 0 ? view.beyond(t, due, slackMs) : 0;
             if (beyond > 0) {
                 all.put(t, beyond / view.jobs(t));
             }
--- a/src/main/java/maplespread/starvation/View.java
+++ b/src/main/java/maplespread/starvation/View.java
@@ -186,12 +186,13 @@
 
     /**
      * The tenant's jobs beyond what is due to it a second, in the stretch up to now in which it asked the
-     * most too much; a second's worth at once is no excess, nor are a few jobs.
+     * most too much. What comes at once within {@code slackMs} is no excess, nor are a few jobs: jobs are
+     * seen as they end, and those of a deadline may end together.
      */
-    double beyond(int tenant, double due) {
+    double beyond(int tenant, double due, double slackMs) {
         double most = 0;
         double asked = 0;
-        double may = Math.max(3, due);
+        double may = Math.max(3, due * slackMs / 1000);
         for (int[] of : jobs.descendingMap().values()) {
             asked += tenant < of.length ? of[tenant] : 0;
             may += due * slotMs / 1000;
--- a/src/main/java/maplespread/starvation/Waits.java
+++ b/src/main/java/maplespread/starvation/Waits.java
@@ -12,7 +12,8 @@
  * the two milliseconds until its refusal, or who is always refused at once would look well. A client that
  * left waited at least until then. A job that is still in work has waited at least so long.
  *
- * <p>Guards against growth: beyond so many cells and open jobs, jobs are counted and no more.
+ * <p>Guards against a process that stood still and then takes its own pause for a place that is slow; and
+ * against growth: beyond so many cells and open jobs, jobs are counted and no more.
  */
 public final class Waits {
     /** How a job ended. */
@@ -25,6 +26,7 @@
     public static final int WHERE_TAKEN = -1;
     private static final int MOST_CELLS = 4096;
     private static final int MOST_OPEN = 8192;
+    private static final long STILL = 3;                         // windows
     private final String process;
     private final long run;
     private final int lengthMs;
@@ -32,6 +34,7 @@
     private Map<Long, Sample> cells = new HashMap<>();
     private final Map<Long, Open> open = new HashMap<>();
     private long number;
+    private long closedMs = Long.MIN_VALUE;
     private int left;
 
     /** {@code deadlinesMs}: by class; {@code lengthMs}: of a window. */
@@ -83,8 +86,17 @@
         return Code.binOf(waitMs - (Double.isNaN(job.workMs) ? 0 : job.workMs));
     }
 
-    /** Ends the window and begins the next one. */
+    /**
+     * Ends the window and begins the next one. Where that comes far too late, this process stood still, and
+     * its jobs waited for it and for nobody else: what ended, and what is open, counts as left out.
+     */
     public Window close(long nowMs) {
+        if (closedMs != Long.MIN_VALUE && nowMs - closedMs > STILL * lengthMs) {
+            cells.values().forEach(s -> left += s.n());
+            cells.clear();
+            open.clear();
+        }
+        closedMs = nowMs;
         TreeMap<Long, Integer> ended = new TreeMap<>();
         cells.forEach((cell, s) -> {
             for (int i = 0; i < s.size(); i++) {
--- a/src/test/java/maplespread/starvation/WaitsTest.java
+++ b/src/test/java/maplespread/starvation/WaitsTest.java
@@ -57,6 +57,23 @@
         assertTrue(view.cells().isEmpty() && view.strata().isEmpty(), "all of it goes");
     }
 
+    /** By how long after the one before a window is closed: what ended in it, and what is open, counts. */
+    @Test void aPauseOfThisProcessTellsNothing() {
+        for (int gap : new int[] {1000, 2900, 3001, 60_000}) {
+            Waits waits = new Waits("a", 1, 1000, DEADLINE);
+            waits.close(0);
+            waits.taken(10, 1, 0, 0, 0, 10);
+            waits.taken(10, 2, 0, 0, 0, 10);
+            waits.ended(gap - 1, 1, 0, End.SERVED);
+            Window w = waits.close(gap);
+            waits.ended(gap + 1, 2, 0, End.SERVED);
+            Window after = waits.close(gap + 1000);
+            assertEquals(gap > 3000 ? 0 : 1, w.codes().length, gap + " ms");
+            assertEquals(gap > 3000 ? 0 : 1, after.codes().length, gap + " ms");
+            assertEquals(2, w.jobs() + after.jobs(), "all are counted, if only as left out");
+        }
+    }
+
     @Test void memoryIsBounded() {
         Waits waits = new Waits("a", 1, 1000, DEADLINE);
         for (int id = 0; id < 20_000; id++) {
