Starvation is told over processes while links are cut and dispatchers stall, die and come back

lab.rig.StarvationPlay: workers let one tenant's jobs lie for 800 ms, for all dispatchers or for one; meanwhile one dispatcher is cut off, one is stopped, one is killed and started again, links lose and repeat packets. What every dispatcher says is looked at all the time. What is said of a crowded place is counted and not judged: on a machine that is slow for all it may be so. The group's part of the operators' file is made in Rig, for both plays.

--- a/src/main/java/maplespread/lab/StarvationMeasure.java
+++ b/src/main/java/maplespread/lab/StarvationMeasure.java
@@ -1,10 +1,12 @@
 package maplespread.lab;
 
+import java.io.IOException;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import maplespread.lab.rig.StarvationPlay;
 import maplespread.lab.starvation.VirtualStarvation;
 import maplespread.lab.starvation.VirtualStarvation.Case;
 import maplespread.lab.starvation.VirtualStarvation.Plan;
@@ -31,6 +33,20 @@
         fair(quick ? 120 : 2700, report);
         relief(quick ? 4 : 50, report);
         lone(quick ? 300 : 14_400, report);
+        if (!quick) {
+            processes(report);
+        }
+    }
+
+    /** What six real processes say while links are cut, and instances stall, die and come back. */
+    private static void processes(Report report) {
+        try (StarvationPlay play = new StarvationPlay(new StarvationPlay.Plan(6, 8, 1, 120))) {
+            report.row("over processes", "named by all, ms", play.play(), "by the unfair one, ms",
+                play.unfair(), "looks", play.looks(), "of these crowded", play.crowded());
+            report.aim("wrong words over processes", play.wrongs().size(), 0);
+        } catch (IOException | InterruptedException e) {
+            report.aim("the play over processes did not end, " + e.getMessage(), 1, 0);
+        }
     }
 
     /** Tenants that are relieved: until nobody is starved, and that two that take from each other rest. */
--- a/src/main/java/maplespread/lab/rig/ReleasePlay.java
+++ b/src/main/java/maplespread/lab/rig/ReleasePlay.java
@@ -3,11 +3,9 @@
 import com.google.gson.JsonObject;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -23,7 +21,6 @@
     public record Plan(int dispatchers, int workers, long seed, int out, int workersOut, int zoneOut,
             int step, long warmMs, double load, boolean agree) { }
 
-    private static final String KEY = "1 00112233445566778899aabbccddeeff\n";
     private static final long MOST_MS = 60_000;          // for one thing that is waited for, at 5 dispatchers
     private static final int PARTS = 3;                          // of a fleet without agreement
     private final Plan plan;
@@ -45,19 +42,7 @@
     }
 
     private String operator(int d, String version, Rig of) throws IOException {
-        String key = Files.writeString(of.folder().resolve("group.key"), KEY).toString();
-        List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(4, plan.dispatchers); i++) {
-            if (i != d) {
-                seeds.add("'" + of.links.address(i) + "'");
-            }
-        }
-        // More than twice the limit: electors that restart are blind until a majority of the others is not.
-        String electors = IntStream.range(0, Math.min(9, plan.dispatchers)).mapToObj(i -> "'n" + i + "'")
-            .collect(Collectors.joining(","));
-        return ("{'group':{'listen':'" + of.links.listen(d) + "','address':'" + of.links.address(d)
-            + "','seeds':" + seeds + ",'electors':[" + electors + "],'key_files':['" + key + "'],'version':'"
-            + version + "','period_ms':250,'ack_ms':80},'release':{'dispatchers_out':" + plan.out
+        return ("{" + of.group(d, version) + ",'release':{'dispatchers_out':" + plan.out
             + ",'workers_out':" + plan.workersOut + ",'workers_out_zone':" + plan.zoneOut
             + ",'least_capacity':0.4,'quiet_ms':300,'back_ms':120000,'worse_refused':1,'worse_errors':1,"
             + "'worse_wait':1000}}").replace('\'', '"');
--- a/src/main/java/maplespread/lab/rig/Rig.java
+++ b/src/main/java/maplespread/lab/rig/Rig.java
@@ -9,6 +9,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import maplespread.lab.fleet.WorkerModel;
 
@@ -39,6 +41,7 @@
     static final String[] ORGS = {"acme", "brio", "cove"};
     static final double[] SHARES = {0.5, 0.3, 0.2};
     static final double MEAN_MS = 100;                           // of work
+    private static final String KEY = "1 00112233445566778899aabbccddeeff\n";
     private static final int SLOTS = 4;
     private static final double FALL = 4;
     private static final double COLD_FROM = 0.12;
@@ -115,6 +118,23 @@
             .replace("@", discovery.whole(d));
     }
 
+    /** The part of a dispatcher's operators' file by which it talks to the others, in single quotes. */
+    String group(int d, String version) throws IOException {
+        String key = Files.writeString(folder.resolve("group.key"), KEY).toString();
+        List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < Math.min(4, plan.dispatchers()); i++) {
+            if (i != d) {
+                seeds.add("'" + links.address(i) + "'");
+            }
+        }
+        // More than twice the limit: electors that restart are blind until a majority of the others is not.
+        String electors = IntStream.range(0, Math.min(9, plan.dispatchers())).mapToObj(i -> "'n" + i + "'")
+            .collect(Collectors.joining(","));
+        return "'group':{'listen':'" + links.listen(d) + "','address':'" + links.address(d)
+            + "','seeds':" + seeds + ",'electors':[" + electors + "],'key_files':['" + key + "'],'version':'"
+            + version + "','period_ms':250,'ack_ms':80}";
+    }
+
     /** Kills a dispatcher with no warning, or starts it again. */
     void kill(int d) throws InterruptedException {
         dispatchers.get(d).kill();
--- a/src/main/java/maplespread/lab/rig/RigWorker.java
+++ b/src/main/java/maplespread/lab/rig/RigWorker.java
@@ -14,6 +14,7 @@
 final class RigWorker {
     private static final long HOLD_MS = 30_000;
     private static final long STEP_MS = 5;
+    private static final long LAST_MS = 800;                     // a fifth of the deadline
 
     /** A job as it stands in the model: what the model says of it goes to its connection's thread. */
     private static final class Job {
@@ -162,6 +163,9 @@
         if ("order".equals(head.get("X-Lane"))) {
             ledger.order(id);
         }
+        if (way.last.equals(head.get("X-Org"))) {
+            Thread.sleep(LAST_MS);
+        }
         Job job = new Job();
         synchronized (this) {
             if (mine != generation) {
--- a/src/main/java/maplespread/lab/rig/Way.java
+++ b/src/main/java/maplespread/lab/rig/Way.java
@@ -15,6 +15,7 @@
     private static final long LATE_MS = 120;
     private static final int PIECE = 16;
     volatile Fault fault = Fault.NONE;
+    volatile String last = "";                                  // the tenant whose jobs lie for a while first
 
     /** Waits until something may come in, or the limit is over; false: not before then. */
     boolean open(long limitMs) throws InterruptedException {
