The release's section has 32 KB: 200 dispatchers and 407 members fit as before

The room of 24 KB would have refused releases that were told to fit (ReleaseTest: under 32 KB, packed). Now 32 KB for releases and 7.5 KB for each of two others, 47 KB of the value's 48. ScriptsTest, StatusesTest and ErrorsTest pass; all three rooms filled at once stay under 48 KB.

--- a/src/main/java/maplespread/group/Sections.java
+++ b/src/main/java/maplespread/group/Sections.java
@@ -11,8 +11,8 @@
  * room of its own, so that one part which grows takes nothing from the others.
  */
 public final class Sections {
-    /** Bytes of the release's section, as it stands in the value, and of each of two others. */
-    public static final int MOST_RELEASE = 24 * 1024, MOST = 11 * 1024;
+    /** Bytes of the release's section, as it stands in the value, and of each of two others: of 48 KB. */
+    public static final int MOST_RELEASE = 32 * 1024, MOST = 7_680;
 
     private Sections() { }
 
