Order's section has 15 KB of the agreed value: two tables fit as before

Two parts share the value, and 7.5 KB for each of two others would have refused tables that were told to fit. PartitionStoryTest (a table of 1,001 rules), StatusesTest and ScriptsTest pass.

--- a/src/main/java/maplespread/group/Sections.java
+++ b/src/main/java/maplespread/group/Sections.java
@@ -11,8 +11,8 @@
  * room of its own, so that one part which grows takes nothing from the others.
  */
 public final class Sections {
-    /** Bytes of the release's section, as it stands in the value, and of each of two others: of 48 KB. */
-    public static final int MOST_RELEASE = 32 * 1024, MOST = 7_680;
+    /** Bytes of the release's section, as it stands in the value, and of the other one: of 48 KB. */
+    public static final int MOST_RELEASE = 32 * 1024, MOST = 15 * 1024;
 
     private Sections() { }
 
