Queues that no report shows are learnt in two mean jobs, not in twenty starts

Nearly all of the late worth was lost on warm workers whose queue was not seen. Lines at fault: Logic.ran (kind.unseen moved by a twentieth a start, at two starts a second and kind), Logic.report (six probes a request moved it down, and free slots end at none while a queue grows; a full worker was taken for slots that are all in use and no queue), foreignWork (draws from zero on, of which the least of thirty workers is none).

Change: kind.unseen follows late starts as a worker's own news does, by age over two mean jobs, a twentieth at least; reports leave it alone where starts are told; a full worker counts as its kind's usual queue; draws begin at half the mean.

The new test sends 20 of 20 without the change.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -246,7 +246,7 @@
 
     /** What workers of one kind have in common: pooled speed and slots, the prior of each of them. */
     private static final class Kind {
-        double work, time, speed = 1, slots, unseen;             // unseen: others' backlog, as time
+        double work, time, speed = 1, slots, unseen, unseenAt;   // unseen: others' backlog, as time
     }
 
     private final class Worker extends Roster.Placed {
@@ -292,10 +292,7 @@
             }
         }
 
-        /**
-         * Departure "late start": by how much the longest waiting job from here has outwaited its estimate.
-         * The queue ahead of it is longer than pushes and reports tell, or the worker stands still.
-         */
+        /** Departure "late start": by how much the longest waiting job from here outwaits its estimate. */
         double outwaited() {
             double over = 0;
             for (Attempt a : held) {
@@ -335,14 +332,13 @@
 
         /**
          * Departure "unseen": others' work in hand by the reports; news fades over two mean jobs. What is too
-         * old to know is drawn anew about the fleet's mean: with the mean itself all nodes would agree on the
-         * same fast workers and rush them together. Can harm where nodes differ much in size: a small node
-         * then sees more of the load than a large one.
+         * old to know is drawn anew, from half the fleet's mean on: with the mean itself all nodes would rush
+         * the same fast workers; from zero on the least of many drawn is none. Harms where nodes differ much.
          */
         double foreignWork() {
             double keep = fade((now - foreignAt) * speed / (2 * meanAll()));
-            double known = foreign * meanAll() * keep;
-            return set.balancers() == 1 ? known : known + (1 - keep) * kind.unseen * cap * draw(random);
+            double drawn = set.balancers() == 1 ? 0 : kind.unseen * cap * (1 + draw(random)) / 2;
+            return keep * foreign * meanAll() + (1 - keep) * drawn;
         }
 
         void report(Report r) {
@@ -367,11 +363,12 @@
             }
             if (!Double.isNaN(others)) {
                 double keep = 0.5 * fade((now - foreignAt) * speed / (2 * meanAll()));
-                // A full worker's free slots say nothing of its queue: then the figure is a lower bound.
+                // A full worker's free slots say nothing of its queue: it is taken for its kind's usual one.
+                double full = Math.max(Math.max(foreign, others), kind.unseen * cap / meanAll());
                 foreign = r.active() >= 0 || r.freeSlots() > 0.5
-                    ? keep * foreign + (1 - keep) * Math.max(0, others) : Math.max(foreign, others);
+                    ? keep * foreign + (1 - keep) * Math.max(0, others) : full;
                 foreignAt = now;
-                kind.unseen += 0.05 * (foreign * meanAll() / cap - kind.unseen);
+                kind.unseen += set.tellsStart() ? 0 : 0.05 * (foreign * meanAll() / cap - kind.unseen);
             }
         }
 
@@ -407,7 +404,9 @@
                 double off = now - a.sentAt - a.wait;            // what of the queue was not seen then
                 foreign = Math.max(0, foreign + 0.5 * (off - clamp(off, 0, aim / 8)) * cap / meanAll());
                 foreignAt = now;
-                kind.unseen += 0.05 * (foreign * meanAll() / cap - kind.unseen);
+                double newer = Math.max(0.05, 1 - fade((now - kind.unseenAt) * speed / (2 * meanAll())));
+                kind.unseen += newer * (foreign * meanAll() / cap - kind.unseen);
+                kind.unseenAt = now;
             } else if (share > a.share) {
                 learn(a.x * (share - a.share), a.spent());
             }
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -524,6 +524,30 @@
         return h;
     }
 
+    /** Guards nodes with little traffic, which hear of few starts: a full worker's report hides its queue. */
+    @Test void aFewLateStartsTellOfTheWholeFleet() {
+        Entry[] entries = new Entry[20];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = Host.entry("w" + i, 0, 0);
+        }
+        Host h = many(60, entries);
+        List.of(entries).forEach(e -> h.reports.put(e.worker(), report(Double.NaN, 0)));
+        for (int i = 1; i <= 6; i++) {
+            Host.Call c = h.take(i, 300);
+            h.pass(2500);
+            for (Host.Try t : c.tries) {
+                h.node.progress(h.us(), i, 0, t.worker, true, 0);
+                h.pass(300);
+                h.settle(i, Verdict.OK);
+            }
+        }
+        int sent = 0;
+        for (int i = 101; i <= 120; i++) {
+            sent += h.take(i, 300).tries.size();
+        }
+        assertTrue(sent <= 5, "sent as if nobody waited at those not heard of: " + sent);
+    }
+
     /** Guards the look: with many nodes own pushes tell nothing, so workers are asked first. */
     @Test void amongManyNodesAWorkerIsLookedAtBeforeItIsChosen() {
         Host h = many(100, Host.entry("a", 0, 0), Host.entry("b", 0, 0), Host.entry("c", 0, 0));
