Owners forget leavers once their time is over, so that later moves do not wait

A killed owner never confirms that nothing of its jobs is out, so it stood as a leaver of its slots for good: each later owner that had not itself heard of its silence waited a whole hold time again, also after an orderly drain, and every kill made the agreed value longer, up to its 48 KiB. An owner that has waited has them forgotten now (Owners.opened, Fence.opened), for the slots that it has had without a break. Found by a second kill in one story.

--- a/src/main/java/maplespread/partition/Fence.java
+++ b/src/main/java/maplespread/partition/Fence.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.IntPredicate;
 import java.util.function.Predicate;
@@ -118,6 +119,18 @@
         return mayAct(now) && s.owner().equals(self) && s.since() == since ? openAt[slot] : NEVER;
     }
 
+    /** Slots for which this member has waited its time, and since when it has each: {@link Owners#opened}. */
+    public Map<Integer, Long> opened(long now) {
+        Map<Integer, Long> done = new TreeMap<>();
+        for (int i = 0; i < openAt.length; i++) {
+            Owners.Slot slot = owners.slots().get(i);
+            if (slot.owner().equals(self) && !slot.leavers().isEmpty() && openAt[i] <= now) {
+                done.put(i, slot.since());
+            }
+        }
+        return done;
+    }
+
     /** Slots that were this member's, and of which it may now say that nothing is out. */
     public Set<Integer> confirms(IntPredicate idle) {
         Set<Integer> done = new TreeSet<>();
--- a/src/main/java/maplespread/partition/Owners.java
+++ b/src/main/java/maplespread/partition/Owners.java
@@ -57,7 +57,7 @@
     }
 
     /**
-     * The same tables and stopped keys, and nobody owns anything: for a value of which newer ones may be lost.
+     * The same tables and stopped keys, and no owners: for a value of which newer ones may be lost.
      * To be written once all that was sent before is over; {@code number}: beyond those that there were.
      */
     public Owners again(long number) {
@@ -151,6 +151,23 @@
             before, tableSince, stopped);
     }
 
+    /**
+     * The member has waited until all that its slots' earlier owners had out is surely over: they are
+     * forgotten, or the next owner would wait again for who never confirms. {@code done}: the slots, and since
+     * when it has each; one that went and came back meanwhile is passed over.
+     */
+    public Owners opened(String member, Map<Integer, Long> done) {
+        List<Slot> next = new ArrayList<>(slots);
+        done.forEach((i, since) -> {
+            Slot s = slots.get(i);
+            if (s.owner.equals(member) && s.since == since) {
+                next.set(i, new Slot(member, since, Map.of()));
+            }
+        });
+        return next.equals(slots) ? this : new Owners(version + 1, epoch, members, silent, next, table,
+            before, tableSince, stopped);
+    }
+
     /**
      * Another table counts. {@code seen}: {@link #tableSince} as the caller knows it, and has known for
      * {@link Tables#mayChange}; where another table has come meanwhile, nothing changes.
--- a/src/main/java/maplespread/partition/client/Keeper.java
+++ b/src/main/java/maplespread/partition/client/Keeper.java
@@ -460,6 +460,10 @@
         if (!done.isEmpty()) {
             propose(t, o -> o.confirm(member(t), done));
         }
+        Map<Integer, Long> opened = orders.opened();
+        if (!opened.isEmpty()) {
+            propose(t, o -> o.opened(member(t), opened));
+        }
         orders.storeStops(PROPOSE_MS);
         if (fileChanged && orders.mayChange()) {
             String next = fileTable;
--- a/src/main/java/maplespread/partition/client/Orders.java
+++ b/src/main/java/maplespread/partition/client/Orders.java
@@ -597,6 +597,11 @@
         });
     }
 
+    /** Slots for whose earlier owners this member has waited long enough. */
+    Map<Integer, Long> opened() {
+        return locked(() -> tables == null ? Map.<Integer, Long>of() : fence.opened(now()));
+    }
+
     /** Has the stops stored that nobody waits for. */
     void storeStops(long waitMs) {
         Set<String> keys = locked(() -> {
--- a/src/test/java/maplespread/partition/FenceTest.java
+++ b/src/test/java/maplespread/partition/FenceTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +48,13 @@
         fence.learned(1000, mine, 100);
         lease(1000);
         assertEquals(1402, from(1000, mine));
+        assertEquals(Map.of(), fence.opened(1401));
+        assertEquals(Map.of(0, mine.slots().get(0).since()), fence.opened(1402));
+        Owners opened = mine.opened("n0#1", fence.opened(1402));
+        assertEquals(Map.of(), opened.slots().get(0).leavers());
+        assertSame(opened, opened.opened("n0#1", fence.opened(1402)), "nothing is left to forget");
+        Owners back = mine.members(Set.of("n1#1")).members(Set.of("n0#1"));
+        assertSame(back, back.opened("n0#1", fence.opened(1402)), "of a slot that went and came back");
         assertFalse(fence.learned(1100, theirs, 100), "older news");
         Owners quiet = theirs.silent(Set.of("n1#1"));
         Owners moved = quiet.members(Set.of("n0#1"));
