An elector that stood still puts nobody out before it has heard them again

After its own standstill of 0.9 s the leading elector's reports all looked old, so it held everyone else for gone and put them out, and took them in again 0.2 s later: every slot moved twice and was unserved for 2 to 8 s, found by the play over processes. It now leads only while a majority's reports are fresh, and not within silent_ms after a gap of its own looks; the change looks again when it is applied.

Measured: HearingsTest (11 cases) and three stories of PartitionStoryTest green at a load above 50 on 8 cores; the play over processes not yet run on it.

--- a/src/main/java/maplespread/partition/Hearings.java
+++ b/src/main/java/maplespread/partition/Hearings.java
@@ -31,11 +31,14 @@
     private record Told(Report report, long at) { }
 
     private final long since;
+    private long lookedAt, wokeAt;                               // whether it leads; after a standstill
     private final Map<String, Heard> own = new TreeMap<>();      // quietMs: when it was heard
     private final Map<String, Told> told = new HashMap<>();      // by elector
 
     public Hearings(long now) {
         since = now;
+        lookedAt = now;
+        wokeAt = now;
     }
 
     /** This one has heard a dispatcher's question. */
@@ -60,8 +63,18 @@
         told.put(elector, new Told(report, now));
     }
 
-    /** Whether this elector, {@code self}, is the first of those that it hears: it alone proposes. */
+    /**
+     * Whether this elector, {@code self}, is the first of those that it hears: it alone proposes. Not while
+     * it hears no majority, nor just after it stood still itself: then all others look silent to it.
+     */
     public boolean leads(long now, List<String> electors, String self, long silentMs) {
+        wokeAt = now - lookedAt > silentMs ? now : wokeAt;
+        lookedAt = now;
+        long fresh = electors.stream().filter(e -> e.equals(self) || told.containsKey(e)
+            && now - told.get(e).at < silentMs).count();
+        if (now - wokeAt < silentMs || 2 * fresh <= electors.size()) {
+            return false;
+        }
         for (String e : electors) {
             Told t = told.get(e);
             if (e.equals(self)) {
--- a/src/main/java/maplespread/partition/client/Keeper.java
+++ b/src/main/java/maplespread/partition/client/Keeper.java
@@ -452,7 +452,9 @@
         if (leads) {
             propose(t, o -> {
                 synchronized (hearings) {
-                    return hearings.members(Orders.now(), v.electors(), name, o, patience);
+                    long at = Orders.now();                      // it may have stood still meanwhile
+                    return !hearings.leads(at, v.electors(), name, set.silentMs()) ? o
+                        : hearings.members(at, v.electors(), name, o, patience);
                 }
             });
         }
--- a/src/test/java/maplespread/partition/HearingsTest.java
+++ b/src/test/java/maplespread/partition/HearingsTest.java
@@ -64,11 +64,21 @@
     /** The first elector that is heard proposes; a word that comes late changes nothing. */
     @Test void oneElectorLeads() {
         Hearings h = new Hearings(0);
-        assertEquals(true, h.leads(5, ELECTORS, "e1", 100));
-        h.told(10, "e0", new Report(10, Map.of()));
-        assertEquals(false, h.leads(100, ELECTORS, "e1", 100));
+        Report nothing = new Report(10, Map.of());
+        h.told(45, "e2", nothing);
+        assertEquals(false, h.leads(50, ELECTORS, "e1", 100), "it has just begun");
         assertEquals(true, h.leads(110, ELECTORS, "e1", 100));
         assertEquals(false, h.leads(110, ELECTORS, "x", 100));
+        h.told(120, "e0", nothing);
+        assertEquals(false, h.leads(130, ELECTORS, "e1", 100), "an earlier one is heard");
+        assertEquals(false, h.leads(225, ELECTORS, "e1", 100), "nobody is heard");
+        h.told(226, "e2", nothing);
+        assertEquals(true, h.leads(226, ELECTORS, "e1", 100));
+        h.told(400, "e2", nothing);
+        assertEquals(false, h.leads(400, ELECTORS, "e1", 100), "it stood still");
+        assertEquals(false, h.leads(490, ELECTORS, "e1", 100));
+        h.told(499, "e2", nothing);
+        assertEquals(true, h.leads(500, ELECTORS, "e1", 100));
         h.heard(20, "x", 1, 7, true);
         h.heard(30, "x", 1, 6, false);                           // overtaken on its way
         assertEquals(new Heard(1, 7, 80, true), h.report(100).heard().get("x"));
