--- a/src/main/java/maplespread/partition/client/Keeper.java
+++ b/src/main/java/maplespread/partition/client/Keeper.java
@@ -452,7 +452,9 @@
         if (leads) {
             propose(t, o -> {
                 synchronized (hearings) {
-                    return hearings.members(Orders.now(), v.electors(), name, o, patience);
+                    long at = Orders.now();                      // it may have stood still meanwhile
+                    return !hearings.leads(at, v.electors(), name, set.silentMs()) ? o
+                        : hearings.members(at, v.electors(), name, o, patience);
                 }
             });
         }
@@ -460,6 +462,10 @@
         if (!done.isEmpty()) {
             propose(t, o -> o.confirm(member(t), done));
         }
+        Map<Integer, Long> opened = orders.opened();
+        if (!opened.isEmpty()) {
+            propose(t, o -> o.opened(member(t), opened));
+        }
         orders.storeStops(PROPOSE_MS);
         if (fileChanged && orders.mayChange()) {
             String next = fileTable;
