A greedy tenant is not called starved before its excess is sure: no word where it may be either

Two measures of excess now: the strict one (a second's worth) keeps a tenant from being called starved, the other (a deadline's worth) is wanted to call it beyond its share; between them no word is said.

JudgeTest: 9 tests green.

--- a/src/main/java/maplespread/starvation/Judge.java
+++ b/src/main/java/maplespread/starvation/Judge.java
@@ -84,6 +84,7 @@
     private final Map<Subject, Standing> standing = new HashMap<>();
     private Set<Subject> known = new HashSet<>();
     private Map<Integer, Double> excess = new HashMap<>();
+    private Map<Integer, Double> sure = new HashMap<>();         // that cannot be a deadline's jobs at once
     private int heard;
     private boolean enough;
     private double spread = 1;
@@ -139,7 +140,10 @@
 
     private void look(View view, Map<Subject, Seen> seen) {
         Map<Long, Group> groups = groups(view);
-        excess = fleet != null && fleet.enough ? fleet.excess : excess(view);
+        boolean guess = alone && site.processes() > 1;
+        boolean told = fleet != null && fleet.enough;
+        sure = told ? fleet.sure : excess(view, Arrays.stream(site.deadlinesMs()).max().orElse(1000));
+        excess = told ? fleet.excess : guess ? sure : excess(view, 1000);
         Map<Subject, Test> pooled = new HashMap<>();
         List<Test> all = new ArrayList<>();
         int[] parts = view.places() ? new int[] {0, 1, 2} : new int[] {0};
@@ -222,11 +226,10 @@
      * What share of each tenant's jobs is beyond its allowance. A view of some of the fleet has the larger of
      * the plain part of it, and what the others' traffic in it is of their allowances.
      */
-    private Map<Integer, Double> excess(View view) {
+    private Map<Integer, Double> excess(View view, double slackMs) {
         Map<Integer, Double> all = new HashMap<>();
         double seconds = view.seconds(heard);
         int tenants = site.allowancesPerS().length;
-        double slackMs = Arrays.stream(site.deadlinesMs()).max().orElse(1000);
         double rates = 0;
         for (int t = 0; t < tenants; t++) {
             rates += site.allowance(t) > 0 ? view.jobs(t) / seconds : 0;
@@ -293,6 +296,9 @@
         } else if (guess && beyond > 0 && (within || beyond < 2 * GREEDY)) {
             return;                                              // one or the other: better no word
         }
+        if (!within && sure.getOrDefault(t.of.tenant, 0.0) == 0) {
+            return;                                              // too much, or a few that ended together
+        }
         Kind kind = within ? Kind.STARVED : Kind.BEYOND_SHARE;
         seen.put(t.of, new Seen(clear ? kind : null, kind, figures(t.sum, elsewhere, t.chance, beyond)));
     }
@@ -417,7 +423,7 @@
         seen.put(of, new Seen(clear ? Kind.CROWDED : null, Kind.CROWDED, f));
         g.tenants.forEach((tenant, bands) -> {                   // whoever asks too much has its own word
             Subject s = new Subject(tenant, g.cls, g.place);
-            double beyond = excess.getOrDefault(tenant, 0.0);
+            double beyond = sure.getOrDefault(tenant, 0.0);
             if (beyond >= GREEDY && known.contains(s) && !seen.containsKey(s)) {
                 int n = Arrays.stream(bands).mapToInt(x -> x == null ? 0 : x.n()).sum();
                 seen.put(s, new Seen(clear ? Kind.BEYOND_SHARE : null, Kind.BEYOND_SHARE, new Figures(n, 0,
