The cold budget by lot is taken back: with the learning it overruns a cold worker

At fault: coldMost's N + sqrt N + 1, which is above N by design, and lots that fall together where sharers' indices are not dense.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -264,7 +264,7 @@
         double service = Double.NaN;                             // its last reported service time
         double speed = 1, cap = 1, extra, u;                     // core speed, c, unseen work, u: refreshed
         double reportAt = Double.NEGATIVE_INFINITY, tryAt, lostAt, aliveAt, inUse;    // slots of held jobs
-        double saved, savedAt;                                   // of its share of the cold budget
+        double saved, savedAt, fullAt;                           // of its share of the cold budget
         double logHint, logRun, runs;                            // recent means, see compare
         double shadow, shadowAt, shadowSeen, shadowLost;
         final long idHash;
@@ -285,8 +285,9 @@
             extra = foreignWork();
             u = (own + extra) / cap + outwaited();
             if (isCold()) {
-                saved += coldShare(coldJobs() / 2) * (now - savedAt) / rules.fallMs();
-                saved = Math.min(saved, coldMost());
+                saved = Math.min(saved + coldBudget() * (now - savedAt) / rules.fallMs(), coldMost());
+                fullAt = saved < coldMost() ? now : fullAt;
+                saved = now - fullAt > rules.fallMs() ? 0 : saved;
                 savedAt = now;
             }
         }
@@ -325,8 +326,8 @@
 
         void cold(double since) {
             coldAt = Math.max(coldAt, since);
-            saved = Math.max(random.nextDouble() * meanAll(), coldShare(coldJobs() / 4));
-            savedAt = now;
+            saved = Math.max(random.nextDouble() * meanAll(), coldBudget() / 2);
+            savedAt = fullAt = now;
         }
 
         /**
@@ -499,27 +500,25 @@
         }
 
         /**
-         * Rule 4: a cold worker falls beyond N + 3 sqrt N + 3 mean jobs a window. Half of N flows to as many
-         * nodes, by lot and more as it warms, a job a window each: shares below one job at all nodes would
-         * lie unused. Flow and savings come to N + sqrt N + 1. An attempt counts as a mean job at least.
+         * Rule 4: this node's share of the work that a cold worker may be sent, at its kind's usual capacity,
+         * as a bucket: filled by half the budget a window, the rest kept for estimates that are off, and
+         * holding a quarter of it, or one job where many nodes share. It starts below that, each node's
+         * elsewhere, and what is not used within a window is lost: savings must not pile up over nodes, a
+         * stall or a restart. Every attempt counts as a mean job at least, refused ones too.
          */
         boolean coldRoom(double x) {
-            double weight = Math.max(x, meanAll()), n = coldJobs();
-            return !isCold() || Math.floorMod(idHash + set.index(), set.balancers()) < Math.max(n / 2, 1)
-                && weight <= n / 4 * meanAll() && saved >= Math.min(weight, coldMost());
+            double weight = Math.max(x, meanAll());
+            return !isCold() || saved >= Math.min(weight, coldMost())
+                && weight <= coldBudget() * set.balancers() / 2;
         }
 
-        double coldJobs() {
+        double coldBudget() {
             double sure = Math.min(kind.speed, speed) * slots() * warmth();
-            return rules.fallMultiple() * sure * rules.fallMs() / meanAll();
-        }
-
-        double coldShare(double jobs) {                          // one sharing node's part, as work
-            return jobs * meanAll() / clamp(coldJobs() / 2, 1, set.balancers());
+            return 0.5 * rules.fallMultiple() * sure * rules.fallMs() / set.balancers();
         }
 
         double coldMost() {
-            return coldShare(coldJobs() / 2 + Math.sqrt(coldJobs()) + 1);
+            return Math.max(coldBudget() / 2, meanAll());
         }
 
         void keep(long key) {
