A request whose client had left before it was read, or first placed, is not sent on

At fault: Dispatcher.reportLeft passed over a transaction not yet taken, so that its own thread picked and sent it afterwards, and CallerLeg.job began before anything was read after the request. Ruled out: a connect that comes up late (mayUse holds it, forced). Change: an untaken transaction ends too; what had come before anybody waited for it is looked at for its end (1 ms) first.

Found by reading, the same guard: Dispatcher.mayUse let a keyed repeat go after its window where the connection came up late; a leg told to end while it had read part of a request closed it unanswered (now 503), and its client's leaving could not be seen; held connections could outlast the kill where all deadlines are under 2 s; SIGHUP before the configuration was read ended the process; an attempt called off in mid-write counted against its worker; after a long outage the next call for the list could come 3.75 s after a failed one of 2.5 s, past the 6 s in which changes count as told (1.8 s now); the rehearsal had one deployment's names.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -373,10 +373,13 @@
             // of a core it may not run for a tenth of a second between the two.
             listener.close();
             lifecycle.enter(Lifecycle.Phase.FINISHING);
-            while (!listener.over() && System.nanoTime() < end) {
+            while (!listener.over() && System.nanoTime() < end - LAST_MS * ms) {
                 Thread.sleep(10);
             }
             listener.failAll();
+            while (!listener.over() && System.nanoTime() < end) {    // an exit over unread bytes would reset
+                Thread.sleep(10);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/maplespread/Start.java
+++ b/src/main/java/maplespread/Start.java
@@ -5,7 +5,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import maplespread.config.Config;
 import maplespread.config.ConfigError;
 import maplespread.config.ConfigReader;
@@ -27,7 +27,7 @@
 
     /** One dispatcher until it is told to end; {@code operator}: the operators' file, or null. */
     public static void serve(String operator) {
-        serve(operator, server -> { });
+        serve(operator, (server, config) -> { });
     }
 
     /** One dispatcher that asks itself, and ends. */
@@ -35,7 +35,9 @@
         serve(null, Start::rehearse);
     }
 
-    private static void serve(String file, Consumer<Server> started) {
+    private static void serve(String file, BiConsumer<Server, Config> started) {
+        Hangups hangups = new Hangups();
+        onHangup(hangups);
         try {
             Map<String, String> env = System.getenv();
             Operator operator = Operator.NONE;
@@ -56,14 +58,14 @@
                     return file == null || file.isEmpty() ? Operator.NONE : OperatorReader.file(file);
                 }
             });
-            onHangup(server::reload);
+            hangups.to(server::reload);
             // The JVM ends when its hooks have: this one waits for the taken work, and makes the status 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 server.stop();
                 Runtime.getRuntime().halt(0);
             }, "shutdown"));
             server.start();
-            started.accept(server);
+            started.accept(server, config);
             server.lifecycle().await(Lifecycle.Phase.STOPPED);
         } catch (ConfigError e) {
             System.err.println("configuration: " + e.getMessage());
@@ -80,7 +82,7 @@
      * Asks the dispatcher once and ends it. The build has this run recorded in a class archive, from which a
      * start on a part of a core takes its classes: a restart is an outage for as long as it lasts.
      */
-    private static void rehearse(Server server) {
+    private static void rehearse(Server server, Config config) {
         for (String call : new String[] {"GET /admin/health", "GET /admin/stats"}) {
             try (HttpConnection link = HttpConnection.dial(server.consoleAddress(), 1000)) {
                 link.send((call + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
@@ -90,11 +92,18 @@
             }
         }
         try (HttpConnection link = HttpConnection.dial(server.address(), 1000)) {
-            for (String request : new String[] {"GET /ready", "POST /catalogue-page/x"}) {
-                link.send((request + " HTTP/1.1\r\nHost: h\r\nX-Txn: r\r\nX-Lane: catalogue-page\r\n"
-                    + "X-Org: marfim\r\nX-Remaining-Ms: 200\r\nContent-Length: 0\r\n\r\n")
+            Config.Names names = config.names();
+            String lane = names.classes().get(0);
+            String tenant = names.tenants().isEmpty() ? "" : "X-Org: " + names.tenants().get(0) + "\r\n";
+            for (String request : new String[] {"GET /ready", "POST /" + lane + "/x"}) {
+                link.send((request + " HTTP/1.1\r\nHost: h\r\nX-Txn: r\r\nX-Lane: " + lane + "\r\n" + tenant
+                    + "Idempotency-Key: r\r\nX-Remaining-Ms: 200\r\nContent-Length: 0\r\n\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1));
-                link.receive(HttpParser.response(1 << 16, (bytes, at, length) -> { }), 1000);
+                HttpParser answer = HttpParser.response(1 << 16, (bytes, at, length) -> { });
+                link.receive(answer, 1000);
+                if (answer.head().status() < 500) {              // no worker is known
+                    Logger.warn("the rehearsal of {} was answered {}", request, answer.head().status());
+                }
             }
         } catch (IOException e) {
             Logger.warn("the rehearsal was cut short: {}", e.getMessage());
@@ -102,7 +111,27 @@
         System.exit(0);
     }
 
-    /** Guards against the JVM's own answer to SIGHUP, which is to exit. */
+    /** Signals that come before there is anybody to hear them are kept: several count as one. */
+    static final class Hangups implements Runnable {
+        private Runnable heard;
+        private boolean early;
+
+        @Override public synchronized void run() {
+            early |= heard == null;
+            if (heard != null) {
+                heard.run();
+            }
+        }
+
+        synchronized void to(Runnable work) {
+            heard = work;
+            if (early) {
+                work.run();
+            }
+        }
+    }
+
+    /** Guards against the JVM's own answer to SIGHUP, which is to exit: the first thing that a start does. */
     static void onHangup(Runnable work) {
         try {
             Signal.handle(new Signal("HUP"), signal -> work.run());
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -1,6 +1,7 @@
 package maplespread.caller;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
@@ -47,6 +48,12 @@
         }
     };
 
+    /**
+     * RESTING: no byte of a request has been read. READING: one has begun and is not whole. WORKING: a whole
+     * one is held. ENDING: its place is wanted; what it has brought is refused, and no more is read.
+     */
+    private enum Phase { RESTING, READING, WORKING, ENDING }
+
     private final HttpConnection connection;
     private final Service service;
     private final Dispatcher dispatcher;
@@ -56,10 +63,10 @@
     private volatile long quietSince = connectedAt;              // when it last had anything to do
     private volatile boolean useful;                             // it has brought a request worth an answer
     private volatile Answer current;                             // null where no whole request is held
-    private volatile boolean ending;
     private volatile boolean parts;                              // ends by itself, between requests
-    private volatile boolean reading;                            // a request has begun and is not whole
+    private Phase phase = Phase.RESTING;                         // guarded by this leg, with current
     private boolean answered;
+    private boolean old;                                         // the request came before it was looked for
     private int faults;                                          // unacceptable requests in a row
 
     /** {@code turnAway}: beyond the number of legs, so its one request is refused. */
@@ -71,12 +78,6 @@
         this.turnAway = turnAway;
     }
 
-    /** Whether no whole request is held that has not been answered. */
-    boolean idle() {
-        Answer now = current;
-        return now == null || now.given();
-    }
-
     /** Whether it has ever brought a request that was acceptable. */
     boolean useful() {
         return useful;
@@ -84,25 +85,40 @@
 
     /** Whether it may yet turn out to be useless. */
     boolean untried() {
-        return !useful && idle() && !ending;
+        return !useful && (phase() == Phase.RESTING || phase() == Phase.READING);
     }
 
     boolean ending() {
-        return ending;
+        return phase() == Phase.ENDING;
+    }
+
+    /** With its answer a request is over, though this leg's thread may still wait for what its client sends. */
+    private synchronized Phase phase() {
+        return phase == Phase.WORKING && current.given() ? Phase.RESTING : phase;
+    }
+
+    /** False where it is to end. */
+    private synchronized boolean enter(Phase next, Answer held) {
+        if (phase == Phase.ENDING) {
+            return false;
+        }
+        phase = next;
+        current = held;
+        return true;
     }
 
     long quietSince() {
         return quietSince;
     }
 
-    /** Whether nothing has come on it that waits to be read. */
+    /** Whether nothing has come on it that waits to be read, and no part of a useful client's request. */
     boolean silent() {
-        return idle() && !connection.pending();
+        return (phase() == Phase.RESTING || untried()) && !connection.pending();
     }
 
-    /** The same, and no part of a request either: it may end with nobody the worse for it. */
+    /** Whether no part of a request has come: it may end with nobody the worse for it. */
     boolean quiet() {
-        return silent() && !reading;
+        return phase() == Phase.RESTING && !connection.pending();
     }
 
     void cutIfStuck() {
@@ -118,10 +134,18 @@
         parts = true;
     }
 
-    /** Ends it at once, for its place is wanted; a request that crosses it is sent again by its client. */
-    void end() {
-        ending = true;
+    /**
+     * Ends it at once, for its place is wanted; false where a request has come meanwhile. What crosses it is
+     * unread, or refused: once its reading has ended here, a client's leaving could not be seen.
+     */
+    synchronized boolean end() {
+        Phase now = phase();
+        if (now != Phase.RESTING && (useful || now != Phase.READING)) {
+            return false;
+        }
+        phase = Phase.ENDING;
         connection.endReading();
+        return true;
     }
 
     /** Fails the request that it holds: it may have run, and its end will not be seen here. */
@@ -145,8 +169,6 @@
             while (more) {
                 more = one();
             }
-        } catch (SocketTimeoutException slow) {
-            new Answer(connection, () -> true, service.figures()).plain(408, "request not whole in time");
         } catch (IOException left) {
             // the client has gone, and nothing was owed to it
         } catch (InterruptedException e) {
@@ -162,6 +184,7 @@
     private boolean one() throws IOException, InterruptedException {
         ByteArrayOutputStream body = new ByteArrayOutputStream(256);
         HttpParser parser = HttpParser.request(body::write);
+        old = connection.buffer().hasRemaining();
         if (!first()) {
             return false;
         }
@@ -170,9 +193,12 @@
         Answer answer = new Answer(connection, () -> !parser.done() || ends(parser.head()),
             service.figures());
         quietSince = System.nanoTime();
-        reading = true;
         boolean large = false;
         try {
+            if (!enter(Phase.READING, null)) {
+                answer.busy(FULL_PAUSE_MS);
+                return false;
+            }
             connection.receiveBy(parser, whole, true);
             if (parser.bodyLength() > Service.LARGE) {
                 large = service.largeRoom().tryAcquire();
@@ -190,9 +216,12 @@
                 connection.send(HttpWriter.response(100).bytes());
             }
             connection.receiveBy(parser, whole, false);
-            current = answer;
-            reading = false;
+            if (!enter(Phase.WORKING, answer)) {
+                answer.busy(FULL_PAUSE_MS);
+                return false;
+            }
             long lastByteUs = dispatcher.nowUs();
+            old |= connection.stood();
             HttpHead head = parser.head();
             if (early()) {
                 broken(answer);
@@ -202,20 +231,26 @@
         } catch (HttpError bad) {
             // After malformed framing nothing on the connection can be trusted; a mere wrong value may go on.
             fault(answer, bad.status(), bad.getMessage());
+        } catch (SocketTimeoutException slow) {
+            answer.plain(408, "request not whole in time");
+        } catch (EOFException cut) {
+            if (!ending()) {
+                throw cut;                                       // its client has left
+            }
+            answer.busy(FULL_PAUSE_MS);
         } finally {
-            reading = false;
             if (large) {
                 service.largeRoom().release();
             }
         }
+        boolean stays = enter(Phase.RESTING, null);
         if (answer.closed()) {
             linger();
             return false;
         }
         answered = true;
         quietSince = System.nanoTime();
-        current = null;
-        return true;
+        return stays || connection.buffer().hasRemaining();      // read, so it is answered
     }
 
     /** Turns a request down that no worker may see. */
@@ -240,7 +275,7 @@
 
     /** Whether the connection is to end after this request. */
     private boolean ends(HttpHead head) {
-        return turnAway || ending || parts || faults >= MOST_FAULTS || !head.keepsAlive()
+        return turnAway || ending() || parts || faults >= MOST_FAULTS || !head.keepsAlive()
             || service.parting().getAsBoolean();
     }
 
@@ -258,7 +293,7 @@
         long wait = turnAway ? SPARE_MS : useful ? times.legIdleMs() : times.legReadMs();
         long end = System.nanoTime() + wait * 1_000_000;
         for (long left = wait; left > 0; left = (end - System.nanoTime()) / 1_000_000) {
-            if ((ending || parts) && !connection.pending()) {
+            if ((ending() || parts) && !connection.pending()) {
                 return false;
             }
             try {
@@ -322,6 +357,12 @@
         }
         useful = true;
         faults = 0;
+        if (old && connection.ended()) {                         // or watch would see it too late
+            answer.drop();
+            service.ids().ended(id);
+            service.room().release();
+            return;
+        }
         answer.taken(job, job.handedOn() ? null : service.ends());    // its wait began elsewhere
         try {
             service.transactions().execute(() -> {
@@ -345,7 +386,7 @@
     private void watch(Transaction t, Answer answer) throws IOException, InterruptedException {
         while (!answer.given()) {
             try {
-                if (!connection.fill(pollMs()) && !ending) {
+                if (!connection.fill(pollMs())) {
                     leave(t, answer);
                     return;
                 }
@@ -362,9 +403,6 @@
                 leave(t, answer);
                 return;
             }
-            if (ending) {
-                answer.awaitGiven();
-            }
         }
     }
 
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -100,12 +100,12 @@
         if (legs.size() < service.sizes().get().legs()) {
             return true;
         }
-        CallerLeg silent = longestSilent(1, UNTRIED);
-        for (int i = 0; i < MOMENTS && silent == null && legs.stream().anyMatch(CallerLeg::untried); i++) {
+        boolean ended = end(1, UNTRIED);
+        for (int i = 0; i < MOMENTS && !ended && legs.stream().anyMatch(CallerLeg::untried); i++) {
             pause(1);                                            // bytes have come, and will now be read
-            silent = longestSilent(1, UNTRIED);
+            ended = end(1, UNTRIED);
         }
-        return end(silent);
+        return ended;
     }
 
     /**
@@ -114,13 +114,17 @@
      */
     private void freeClients() {
         if (legs.stream().filter(l -> l.useful() && !l.ending()).count() > service.sizes().get().kept()) {
-            end(longestSilent(1, 0));
+            end(1, 0);
         }
     }
 
-    private boolean end(CallerLeg silent) {
+    /** Ends the longest silent; another where a request came to it in that moment. */
+    private boolean end(int useful, int untried) {
+        CallerLeg silent = longestSilent(useful, untried);
+        while (silent != null && !silent.end()) {
+            silent = longestSilent(useful, untried);
+        }
         if (silent != null) {
-            silent.end();
             service.figures().shed();
         }
         return silent != null;
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -140,7 +140,8 @@
         double idle = set.permissions().connIdleMs() > 0 ? set.permissions().connIdleMs() * 2 / 3 : 10_000;
         long dial = Math.max(1, Math.round(set.permissions().dialTimeoutMs()));
         return new Config.Times(dial, Math.max(500, 2 * dial), 1000, (long) idle, 60_000, 2_500,
-            ListClock.ofProtocol(), (long) longest, 500, 2_000, (long) Math.min(3000, longest) + 500);
+            ListClock.ofProtocol(), (long) longest, 500, (long) Math.min(2000, longest),
+            (long) Math.min(3000, longest) + 500);
     }
 
     // ------------------------------------------------------------ settings
--- a/src/main/java/maplespread/decision/Dispatch.java
+++ b/src/main/java/maplespread/decision/Dispatch.java
@@ -58,6 +58,11 @@
             need(lateShare >= 0 && lateShare <= 1, "lateShare must lie in 0..1");
             need(effect != null && group != null, "a class needs an effect and a group");
         }
+
+        /** Whether a job may be sent again so long after its first attempt that may have run. */
+        public boolean repeatable(double sinceMs) {
+            return effect == Effect.READ_LIKE || effect == Effect.KEYED && sinceMs <= windowMs;
+        }
     }
 
     /** A tenant and the rate of its requests, over all nodes together, that counts in full (0: no limit). */
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -27,6 +27,7 @@
  */
 public final class Logic implements Dispatch.Events {
     private static final long TICK = 1;
+    private static final double TOLD = 6000;             // then a change counts as told, whatever failed
     private Settings set;
     private Rules rules;
     private Permissions allow;
@@ -96,7 +97,8 @@
     @Override public void listFailed(long nowUs) {
         at(nowUs);
         // Jittered backoff: the list is one service for all nodes, and calls in step would all be late again.
-        double wait = Math.min(rules.askWithinMs() / 4, horizon / 20 * (1L << Math.min(++watchFails, 6)));
+        double most = Math.min(rules.askWithinMs() / 4, TOLD / 5);
+        double wait = Math.min(most, horizon / 20 * (1L << Math.min(++watchFails, 6)));
         watchAt = now + wait * (0.5 + random.nextDouble());
     }
 
@@ -733,10 +735,9 @@
                 return false;
             }
             for (Attempt a : attempts) {
-                if (!a.neverRan && spec.effect() != Effect.READ_LIKE
-                    && (spec.effect() == Effect.UNSAFE || now - a.sentAt > spec.windowMs()
-                        || spec.group() == Group.ZONE && a.worker.zone != w.zone
-                        || spec.group() == Group.CELL && a.worker.cell != w.cell)) {
+                if (!a.neverRan && (!spec.repeatable(now - a.sentAt) || spec.effect() == Effect.KEYED
+                    && (spec.group() == Group.ZONE && a.worker.zone != w.zone
+                        || spec.group() == Group.CELL && a.worker.cell != w.cell))) {
                     return false;
                 }
             }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -71,7 +71,7 @@
     public Word pick(Transaction t) throws InterruptedException {
         lock.lockInterruptibly();
         try {
-            if (!t.taken) {
+            if (!t.taken && !t.ended) {
                 t.taken = true;
                 t.id = ++lastId;
                 t.changed = lock.newCondition();
@@ -112,6 +112,9 @@
         locked(() -> {
             Transaction t = b.transaction();
             t.out--;
+            if (!verdict(outcome).neverRan() && t.mayHaveRunUs == 0) {
+                t.mayHaveRunUs = b.pickedUs();                   // attempts follow one another
+            }
             if (outcome == Outcome.SERVED) {
                 t.ended = true;
                 told(t, false);
@@ -182,7 +185,10 @@
     /** The client left: no answer is owed. Branches that are out still get their outcome. */
     public void reportLeft(Transaction t) {
         locked(() -> {
-            if (t.taken && !t.ended) {
+            if (!t.taken && !t.ended) {                          // its thread has not come to ask yet
+                t.ended = true;
+                t.word = new Word.Left();
+            } else if (!t.ended) {
                 Word unread = t.word;
                 if (shares != null) {
                     shares.left(t.id);
@@ -226,7 +232,8 @@
 
     /**
      * Whether the branch may be sent now: to be asked again just before. While a connection came up, a drain
-     * may have been told, or the client may have left: its work would be done for nobody.
+     * may have been told, the client may have left, whose work would be done for nobody, or the time may have
+     * run out in which workers drop a repeat.
      */
     public boolean mayUse(Branch b) {
         BooleanSupplier still = b.transaction().still;
@@ -237,7 +244,7 @@
         try {
             Route r = routes.get(b.worker());
             return !b.transaction().ended && r != null && r.state() == Route.State.SERVING
-                && r.address().equals(b.address());
+                && r.address().equals(b.address()) && inWindow(b.transaction());
         } finally {
             lock.unlock();
         }
@@ -245,9 +252,15 @@
 
     /** Whether it would be harmless to run the branch's job twice. */
     public boolean repeatable(Branch b) {
-        Transaction t = b.transaction();
-        Dispatch.Settings under = t.under == null ? settings : t.under;
-        return under.classes().get(t.cls).effect() == Dispatch.Effect.READ_LIKE;
+        return spec(b.transaction()).effect() == Dispatch.Effect.READ_LIKE;
+    }
+
+    private Dispatch.ClassSpec spec(Transaction t) {
+        return (t.under == null ? settings : t.under).classes().get(t.cls);
+    }
+
+    private boolean inWindow(Transaction t) {
+        return t.mayHaveRunUs == 0 || spec(t).repeatable((nowUs() - t.mayHaveRunUs) / 1000.0);
     }
 
     /** Whether any worker is known that takes work. */
--- a/src/main/java/maplespread/http/HttpConnection.java
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -14,6 +14,7 @@
     private final Socket socket;
     private volatile long writingSince;
     private volatile boolean writing;
+    private boolean stood;
     private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER).flip();
 
     public HttpConnection(Socket socket) throws IOException {
@@ -47,12 +48,29 @@
         }
     }
 
+    /** Whether what was read last had come before anybody waited for it; since when is not known. */
+    public boolean stood() {
+        return stood;
+    }
+
+    /** Whether the peer has ended its sending by now; where nothing has come, it takes a millisecond. */
+    public boolean ended() {
+        try {
+            return !fill(1);
+        } catch (SocketTimeoutException silent) {
+            return false;
+        } catch (IOException reset) {
+            return true;
+        }
+    }
+
     /** Waits for more bytes; false when the peer has ended its sending. */
     public boolean fill(long limitMs) throws IOException {
         if (buffer.hasRemaining()) {
             return true;
         }
         socket.setSoTimeout((int) Math.max(1, Math.min(limitMs, Integer.MAX_VALUE)));
+        stood = pending();
         int n = socket.getInputStream().read(buffer.array(), 0, buffer.capacity());
         if (n < 0) {
             return false;
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -153,6 +153,9 @@
             figures.attempt();
         } catch (IOException e) {                                // its last byte was never written
             links.close(link);
+            if (me.cancelled()) {                                // cut off here: no word against the worker
+                return ended(Outcome.NEVER_SENT);
+            }
             links.used(link, true);
             return ended(link.kept ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED);
         }
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -34,9 +34,15 @@
         }
     }
 
+    /** Makes a connection within the limit, in milliseconds: the system, or a story that has it come late. */
+    public interface Dialer {
+        HttpConnection dial(InetSocketAddress to, long limitMs) throws IOException;
+    }
+
     private static final long LEAST_IDLE_NANOS = 100_000_000L;
     private final Supplier<Config> config;
     private final Supplier<Config.Sizes> sizes;
+    private final Dialer dialer;
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private int idleCount;
     private int out;                                             // in use, or being connected
@@ -45,8 +51,14 @@
 
     /** {@code sizes}: how much may be held at present. */
     public Links(Supplier<Config> config, Supplier<Config.Sizes> sizes) {
+        this(config, sizes, HttpConnection::dial);
+    }
+
+    /** With another way to make connections. */
+    public Links(Supplier<Config> config, Supplier<Config.Sizes> sizes, Dialer dialer) {
         this.config = config;
         this.sizes = sizes;
+        this.dialer = dialer;
         idleNanos = config.get().times().linkIdleMs() * 1_000_000;
     }
 
@@ -70,7 +82,7 @@
         }
         try {
             long dialMs = Math.min(limitMs, config.get().times().dialMs());
-            return new Link(HttpConnection.dial(to, dialMs), address);
+            return new Link(dialer.dial(to, dialMs), address);
         } catch (IOException | RuntimeException | Error e) {
             notMade();
             throw e;
--- a/src/test/java/maplespread/PlainStartTest.java
+++ b/src/test/java/maplespread/PlainStartTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -15,13 +16,8 @@
     @Test
     void whatIsOffIsNotLoaded(@TempDir Path dir) throws Exception {
         Path loaded = dir.resolve("loaded");
-        ProcessBuilder call = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx40m",
-            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xlog:class+load:file=" + loaded, "-cp",
-            System.getProperty("java.class.path"), "maplespread.Main", "rehearse");
-        call.environment().keySet().removeIf(k -> k.startsWith("BALANCER") || k.equals("JAVA_TOOL_OPTIONS"));
-        call.environment().put("BALANCER_CONFIG", "example/config.json");
-        call.environment().put("BALANCER_LISTEN", "127.0.0.1:0");
-        Process process = call.redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
+        Process process = Program.start("rehearse", Map.of("BALANCER_CONFIG", "example/config.json",
+            "BALANCER_LISTEN", "127.0.0.1:0"), dir.resolve("log"), "-Xlog:class+load:file=" + loaded);
         try {
             assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         } finally {
--- a/src/test/java/maplespread/config/ConfigReaderTest.java
+++ b/src/test/java/maplespread/config/ConfigReaderTest.java
@@ -66,6 +66,18 @@
         assertThrows(ConfigError.class, () -> ConfigReader.fromEnvironment(Map.of()));
     }
 
+    /** Guards an end that would come after the process may be killed, where all deadlines are short. */
+    @Test public void aShutdownEndsBeforeTheProcessMayBeKilled() throws Exception {
+        for (int ms : new int[] {1, 300, 600, 1500, 2900, 60_000}) {
+            Config.Times t = ConfigReader.read(example().replace("6000", "" + ms).replace("5000", "" + ms),
+                Map.of()).times();
+            assertEquals(ms, t.longestMs());
+            assertTrue("killed at the longest deadline, 3 s at most, and 0.7 s",
+                t.endMs() < Math.min(3000, ms) + 700);
+            assertTrue("what is open is finished after it is held", t.holdMs() + 300 < t.endMs());
+        }
+    }
+
     /** Guards a move of discovery: what the environment said at the start must not outlive a new file. */
     @Test public void afterTheStartTheFileSaysWhereDiscoveryIs() throws Exception {
         Map<String, String> env = Map.of("BALANCER_CONFIG", "example/config.json", "BALANCER_DISCOVERY",
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -207,6 +207,21 @@
         assertTrue(h.watches >= 2, "watches " + h.watches);
     }
 
+    /**
+     * Guards the time in which a change counts as told, whatever failed: after a long outage a call that
+     * began just before discovery came back may last its 2.5 s, and the next one is to be heard in time.
+     */
+    @Test void noOutageMakesTheListWaitedForTooLong() {
+        Host h = two();
+        h.pass(400);
+        for (int i = 0; i < 40; i++) {
+            int asked = h.watches;
+            h.node.listFailed(h.us());
+            h.pass(2200);
+            assertTrue(h.watches > asked, "after " + i + " failures");
+        }
+    }
+
     @Test void aSilentWorkerIsLeftAndItsWorkMoved() {
         Host h = host(Effect.READ_LIKE, Group.ALL, Host.entry("a", 0, 0), Host.entry("b", 0, 0),
             Host.entry("c", 0, 0));
--- /dev/null
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -0,0 +1,342 @@
+package maplespread.net;
+
+import static maplespread.net.Loopback.job;
+import static maplespread.net.Loopback.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import maplespread.caller.Listener;
+import maplespread.caller.Service;
+import maplespread.config.Config;
+import maplespread.config.ConfigReader;
+import maplespread.facade.Branch;
+import maplespread.facade.Dispatcher;
+import maplespread.facade.Outcome;
+import maplespread.facade.Route;
+import maplespread.facade.RouteNews;
+import maplespread.facade.Transaction;
+import maplespread.figures.Figures;
+import maplespread.http.HttpConnection;
+import maplespread.http.HttpParser;
+import maplespread.net.Loopback.Peer;
+import maplespread.net.Loopback.Site;
+import maplespread.worker.Branches;
+import maplespread.worker.Links;
+import maplespread.worker.Message;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Two events cross within one request: its client leaves, its worker drains, or the time for its repeat runs
+ * out, while it waits for a thread, a connection or an answer. The sockets are real; the story gives the
+ * dispatcher its threads and its way to make connections, and holds them where the other event is to come.
+ */
+class CrossingsTest {
+    private static final Loopback.Script DONE = call -> {
+        call.open();
+        call.done("ok");
+    };
+    /** Started, then the answer ends before its last line: it may have run. */
+    private static final Loopback.Script BREAKS = call -> {
+        call.open();
+        call.state("started", "");
+        call.raw("0\r\n\r\n");
+    };
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread t = new Thread(work);
+        t.setDaemon(true);
+        return t;
+    });
+
+    @AfterEach void end() {
+        threads.shutdownNow();
+    }
+
+    /** Runs what it is given as the story says. */
+    private static final class Starts extends AbstractExecutorService {
+        private final Consumer<Runnable> how;
+
+        Starts(Consumer<Runnable> how) {
+            this.how = how;
+        }
+
+        @Override public void execute(Runnable work) {
+            how.accept(work);
+        }
+
+        @Override public void shutdown() { }
+
+        @Override public List<Runnable> shutdownNow() {
+            return List.of();
+        }
+
+        @Override public boolean isShutdown() {
+            return false;
+        }
+
+        @Override public boolean isTerminated() {
+            return false;
+        }
+
+        @Override public boolean awaitTermination(long time, TimeUnit unit) {
+            return false;
+        }
+    }
+
+    private void plainly(Runnable work) {
+        threads.execute(work);
+    }
+
+    private Consumer<Runnable> behind(Gate gate) {
+        return work -> threads.execute(() -> {
+            gate.pass();
+            work.run();
+        });
+    }
+
+    /** From the accepting to the workers, without discovery. */
+    private final class Node implements Closeable {
+        final Dispatcher dispatcher;
+        final Listener listener;
+        final Branches branches;
+        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final AtomicInteger over = new AtomicInteger();          // transactions
+        final Config config;
+
+        Node(String file, Consumer<Runnable> legs, Consumer<Runnable> transactions, Links.Dialer dialer)
+                throws Exception {
+            config = ConfigReader.read(file, Map.of());
+            Figures figures = new Figures();
+            dispatcher = new Dispatcher(config.settings(), 1, false);
+            dispatcher.report(config.known());
+            Links links = new Links(() -> config, config::sizes, dialer);
+            branches = new Branches(() -> config, links, dispatcher, figures);
+            Service service = new Service(() -> config, dispatcher, branches, new Starts(work -> transactions.accept(() -> {
+                    work.run();
+                    over.incrementAndGet();
+                })), config::sizes, figures, () -> true, () -> null, () -> false, () -> Long.MAX_VALUE, null,
+                null);
+            listener = new Listener(door, service, new Starts(legs), new Starts(legs));
+            threads.execute(listener);
+        }
+
+        HttpConnection client(String request) throws IOException {
+            HttpConnection link = HttpConnection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                door.getLocalPort()), Loopback.LIMIT_MS);
+            link.send(request.getBytes());
+            return link;
+        }
+
+        void drained(Peer worker) {
+            Route r = dispatcher.addresses().contains(worker.address()) ? new Route("s-"
+                + worker.socket.getLocalPort(), worker.address(), Route.State.DRAINING, 1, 0, 1, 0, 0) : null;
+            dispatcher.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(r)));
+        }
+
+        @Override public void close() throws IOException {
+            listener.close();
+            until("the listener's end", listener::closed);
+        }
+    }
+
+    private static int status(HttpConnection link) throws IOException {
+        HttpParser parser = HttpParser.responseOrError(1 << 16, (bytes, at, length) -> { });
+        link.receive(parser, Loopback.LIMIT_MS);
+        return parser.head().status();
+    }
+
+    /** The ids of the jobs that have come to the workers. */
+    private static List<String> jobs(Peer... workers) {
+        List<String> ids = new ArrayList<>();
+        for (Peer w : workers) {
+            w.calls.forEach(call -> ids.add(call.id()));
+        }
+        return ids;
+    }
+
+    /** Its transaction's thread is held from the start; the client is there, or leaves meanwhile. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatLeavesBeforeTheFirstChoiceIsNotSentOn(boolean leaves) throws Exception {
+        Gate gate = new Gate();
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            this::plainly, behind(gate), HttpConnection::dial)) {
+            HttpConnection client = node.client(job("order", "a", 4000));
+            gate.reached();
+            if (leaves) {
+                client.close();
+                until("its leaving is seen", () -> node.listener.size() == 0);
+            }
+            gate.open();
+            until("the transaction's end", () -> node.over.get() == 1);
+            assertEquals(leaves ? List.of() : List.of("a"), jobs(worker));
+            client.close();
+        }
+    }
+
+    /**
+     * Request and end came before the leg had a thread. The transaction runs to its end before anything else
+     * is read: what is not known by then is known too late.
+     */
+    @Test void aClientThatLeftBeforeItsRequestWasReadIsNotSentOn() throws Exception {
+        Gate gate = new Gate();
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            behind(gate), Runnable::run, HttpConnection::dial)) {
+            node.client(job("order", "a", 4000)).close();
+            gate.reached();
+            until("the system has both", () -> Loopback.connections(node.door.getLocalPort(),
+                Loopback.CLOSE_WAIT) == 1);
+            gate.open();
+            until("its end", () -> node.listener.size() == 0);
+            assertEquals(List.of(), jobs(worker));
+        }
+    }
+
+    /** The connection to the worker comes up late; the client is there, or has left by then. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatLeavesWhileTheConnectionComesUpIsNotSentOn(boolean leaves) throws Exception {
+        Gate gate = new Gate();
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            this::plainly, this::plainly, (to, limitMs) -> {
+                gate.pass();
+                return HttpConnection.dial(to, Loopback.LIMIT_MS);
+            })) {
+            HttpConnection client = node.client(job("order", "a", 4000));
+            gate.reached();
+            if (leaves) {
+                client.close();
+                until("its leaving is seen", () -> node.listener.size() == 0);
+            }
+            gate.open();
+            until("the transaction's end", () -> node.over.get() == 1);
+            assertEquals(leaves ? List.of() : List.of("a"), jobs(worker));
+            client.close();
+        }
+    }
+
+    /** Its worker turns it away; the client is there, or has left by then. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatLeavesBetweenTwoAttemptsIsNotSentOn(boolean leaves) throws Exception {
+        Gate gate = new Gate();
+        Loopback.Script away = call -> {
+            gate.pass();
+            call.raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+        try (Peer one = new Peer(away); Peer other = new Peer(away); Node node = new Node(
+            Loopback.config("127.0.0.1:1", one, other), this::plainly, this::plainly, HttpConnection::dial)) {
+            HttpConnection client = node.client(job("page", "a", 4000));
+            gate.reached();
+            if (leaves) {
+                client.close();
+                until("its leaving is seen", () -> node.listener.size() == 0);
+            }
+            gate.open();
+            until("the transaction's end", () -> node.over.get() == 1);
+            assertEquals(leaves, jobs(one, other).size() == 1, () -> "sent to " + jobs(one, other));
+            client.close();
+        }
+    }
+
+    /** Called off while its bytes are written: they were not all written, and nothing speaks against the worker. */
+    @Test void anAttemptCalledOffWhileItIsWrittenWasNeverSent() throws Exception {
+        Gate gate = new Gate();
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            this::plainly, this::plainly, (to, limitMs) -> {
+                Socket held = new Socket() {
+                    @Override public OutputStream getOutputStream() throws IOException {
+                        gate.pass();
+                        return super.getOutputStream();
+                    }
+                };
+                held.connect(to);
+                return new HttpConnection(held);
+            })) {
+            Transaction t = new Transaction(0, 0, node.dispatcher.nowUs() + 60_000_000, 50, 1, 0, null);
+            Branch branch = (Branch) node.dispatcher.pick(t);
+            Future<Outcome> outcome = threads.submit(() -> node.branches.run(branch, new Message("POST", "/page/x",
+                "a", "page", List.of(), new byte[4])).outcome);
+            gate.reached();
+            node.branches.cancel(branch);
+            gate.open();
+            assertEquals(Outcome.NEVER_SENT, outcome.get(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS));
+            assertEquals(List.of(), jobs(worker));
+        }
+    }
+
+    /** A drain is told between the choice and the first byte: the job goes to the other worker, once. */
+    @Test void aDrainToldWhileTheConnectionComesUpIsObeyed() throws Exception {
+        Gate gate = new Gate();
+        AtomicReference<InetSocketAddress> first = new AtomicReference<>();
+        try (Peer one = new Peer(DONE); Peer other = new Peer(DONE); Node node = new Node(
+            Loopback.config("127.0.0.1:1", one, other), this::plainly, this::plainly, (to, limitMs) -> {
+                if (first.compareAndSet(null, to)) {
+                    gate.pass();
+                }
+                return HttpConnection.dial(to, Loopback.LIMIT_MS);
+            }); HttpConnection client = node.client(job("order", "a", 4000))) {
+            gate.reached();
+            boolean toOne = first.get().getPort() == one.socket.getLocalPort();
+            node.drained(toOne ? one : other);
+            gate.open();
+            assertEquals(200, status(client));
+            assertEquals(List.of(), jobs(toOne ? one : other));
+            assertEquals(List.of("a"), jobs(toOne ? other : one));
+        }
+    }
+
+    /**
+     * A keyed job may have run, and goes again within the window in which its repeat is dropped; the second
+     * connection comes up inside the window, or after it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRepeatIsNotSentAfterItsWindow(boolean late) throws Exception {
+        long windowUs = 2_000_000;
+        Gate gate = new Gate();
+        AtomicInteger dials = new AtomicInteger();
+        String[] file = new String[1];
+        try (Peer one = new Peer(BREAKS); Peer other = new Peer(BREAKS)) {
+            file[0] = Loopback.config(Site.ALLOCATORS, "127.0.0.1:1", one, other).replace(
+                "\"repeatWindowMs\":10000", "\"repeatWindowMs\":" + windowUs / 1000).replace("\"tryLimit\":4",
+                "\"tryLimit\":2");
+            assertNotEquals(Loopback.config(Site.ALLOCATORS, "127.0.0.1:1", one, other), file[0]);
+            try (Node node = new Node(file[0], this::plainly, this::plainly, (to, limitMs) -> {
+                    if (dials.incrementAndGet() == 2) {
+                        gate.pass();
+                    }
+                    return HttpConnection.dial(to, Loopback.LIMIT_MS);
+                }); HttpConnection client = node.client(Loopback.withKey(job("allocate", "a", 4000), "k"))) {
+                gate.reached();
+                long chosenUs = node.dispatcher.nowUs();
+                if (late) {
+                    until("the window's end", () -> node.dispatcher.nowUs() > chosenUs + windowUs);
+                }
+                gate.open();
+                assertEquals(502, status(client));
+                assertEquals(late ? 1 : 2, jobs(one, other).size());
+            }
+        }
+    }
+}
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import maplespread.Server;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -232,9 +234,12 @@
     }
 
     /**
-     * Settings shaped like the two deployments, so that a story runs on both in turn. OUTLET: classes safe to
+     * Settings shaped like the deployments, so that a story runs on each in turn. OUTLET: classes safe to
      * repeat, one never twice, one keyed anywhere; ALLOCATORS: one keyed class whose repeats only the workers
-     * of one zone drop, for 10 s, fewer attempts, a longer drain, Retry-After.
+     * of one zone drop, for 10 s, fewer attempts, a longer drain, Retry-After. HALLS: all safe to repeat, no
+     * tenants, no probes. TICKETS: as HALLS, but the never-twice class stands first, is the cheapest and has
+     * a shorter deadline than the program's own times; no word of starts. ARCHIVE: the list is pushed, keyed
+     * in a cell, no cancelling, two attempts.
      */
     enum Site {
         OUTLET(new String[][] {{"page", "read_like", "all", "1000"},
@@ -243,7 +248,33 @@
             "'drainGraceMs':250,'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':4,'fallMs':1000"),
         ALLOCATORS(new String[][] {{"allocate", "idempotency_key", "zone", "500"}}, 10_000,
             "'tryLimit':4,'maxRetryAfterMs':2000,'retryAfter':true",
-            "'drainGraceMs':1000,'coldFrom':0.3,'warmWithinMs':8500,'fallMultiple':2.5,'fallMs':3000");
+            "'drainGraceMs':1000,'coldFrom':0.3,'warmWithinMs':8500,'fallMultiple':2.5,'fallMs':3000"),
+        HALLS(new String[][] {{"spectrum", "read_like", "all", "600"}, {"series", "read_like", "all", "600"}},
+            0, "'tryLimit':6,'maxRetryAfterMs':2000",
+            "'drainGraceMs':300,'coldFrom':0.12,'warmWithinMs':24000,'fallMultiple':3,'fallMs':1000") {
+            @Override String shape(String text) {
+                return text.replace("{'name':'acme','allowancePerS':100}", "")
+                    .replace("'probing':true", "'probing':false");
+            }
+        },
+        TICKETS(new String[][] {{"seat", "non_idempotent", "all", "200"},
+            {"look", "read_like", "all", "500"}, {"issue", "idempotency_key", "all", "500"}}, 1500,
+            "'tryLimit':3,'maxRetryAfterMs':1000",
+            "'drainGraceMs':120,'coldFrom':0.15,'warmWithinMs':18000,'fallMultiple':3,'fallMs':800") {
+            @Override String shape(String text) {
+                return HALLS.shape(text).replace("'tellsStart':true,'progressMs':2000", "'tellsStart':false")
+                    .replace("'aimMs':200,'deadlineMs':5000", "'aimMs':200,'deadlineMs':900");
+            }
+        },
+        ARCHIVE(new String[][] {{"scan", "idempotency_key", "cell", "600"},
+            {"erase", "non_idempotent", "all", "300"}, {"index", "read_like", "all", "400"}}, 700,
+            "'tryLimit':2,'maxRetryAfterMs':3000",
+            "'drainGraceMs':2000,'coldFrom':0.2,'warmWithinMs':10000,'fallMultiple':2,'fallMs':2000") {
+            @Override String shape(String text) {
+                return text.replace("'discovery':'ask'", "'discovery':'push'")
+                    .replace("'cancel':true", "'cancel':false");
+            }
+        };
 
         /** Each class: its name (the lane), its effect, where its repeats are dropped, its aim in ms. */
         final String[][] lanes;
@@ -267,6 +298,11 @@
             this.permissions = permissions;
             this.rules = rules;
         }
+
+        /** What else differs in the settings. */
+        String shape(String text) {
+            return text;
+        }
     }
 
     static String config(String discovery, Peer... workers) {
@@ -274,7 +310,7 @@
     }
 
     static String config(Site site, String discovery, Peer... workers) {
-        return ("{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
+        return site.shape("{'name':'n','listen':'127.0.0.1:0','discovery':'" + discovery + "','seed':'1f',"
             + "'limits':{'sockets':256,'memory_mb':192},'known':" + list(1, true, "SERVING", workers)
             + ",'settings':{'balancers':1,'index':0,'zone':0,'areas':['a','b'],'models':['m'],"
             + "'discovery':'ask',"
@@ -366,6 +402,22 @@
         }
     }
 
+    /** States of a connection, as the system names them. */
+    static final String ESTABLISHED = "01";
+    static final String CLOSE_WAIT = "08";
+
+    /** How many connections to the port the system holds in the state, accepted by the program or not. */
+    static int connections(int port, String state) {
+        String mine = String.format(":%04X ", port);
+        try (Stream<String> v4 = Files.lines(Path.of("/proc/net/tcp"));
+             Stream<String> v6 = Files.lines(Path.of("/proc/net/tcp6"))) {
+            return (int) Stream.concat(v4, v6).map(l -> l.trim().split(" +", 4))
+                .filter(f -> (f[1] + ' ').endsWith(mine) && f[3].startsWith(state + ' ')).count();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Waits for a condition, not for a time. */
     static void until(String what, BooleanSupplier condition) {
         long end = System.nanoTime() + LIMIT_MS * 1_000_000;
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -12,17 +12,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Stream;
 import maplespread.Lifecycle;
 import maplespread.Server;
 import maplespread.caller.Listener;
@@ -64,6 +60,8 @@
         return t;
     });
     private volatile boolean parting;
+    private volatile Config.Sizes sizes;
+    private Runnable known;                                      // has the dispatcher know its worker
     private Peer worker;
     private Door door;
     private Listener listener;
@@ -82,32 +80,10 @@
     }
 
     /** Holds whoever comes to the step next. */
-    private final class Gate {
-        private final CountDownLatch reached = new CountDownLatch(1);
-        private final CountDownLatch opened = new CountDownLatch(1);
-
-        Gate(Step step, int after) {
-            when(step, after, () -> {
-                reached.countDown();
-                await(opened);
-            });
-        }
-
-        void reached() {
-            await(reached);
-        }
-
-        void open() {
-            opened.countDown();
-        }
-    }
-
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(Loopback.LIMIT_MS, TimeUnit.MILLISECONDS), "never came");
-        } catch (InterruptedException e) {
-            throw new AssertionError(e);
-        }
+    private Gate gate(Step step, int after) {
+        Gate gate = new Gate();
+        when(step, after, gate::pass);
+        return gate;
     }
 
     /** A socket of an accepted connection. */
@@ -160,11 +136,13 @@
     @BeforeEach void open() throws Exception {
         worker = new Peer(call -> { });
         Config config = ConfigReader.read(Loopback.config(worker.address(), worker), Map.of());
+        sizes = config.sizes();
         Figures figures = new Figures();
         Dispatcher dispatcher = new Dispatcher(config.settings(), 1, false);
+        known = () -> dispatcher.report(config.known());
         Links links = new Links(() -> config, config::sizes);
         Service service = new Service(() -> config, dispatcher, new Branches(() -> config, links, dispatcher,
-            figures), threads, config::sizes, figures, () -> !parting, () -> null, () -> parting,
+            figures), threads, () -> sizes, figures, () -> !parting, () -> null, () -> parting,
             () -> Long.MAX_VALUE, null, null);
         door = new Door();
         listener = new Listener(door, service, threads, threads);
@@ -225,7 +203,7 @@
     private void crossed(Step step, boolean used, String first) throws IOException {
         String what = step + (used ? ", used, " : ", fresh, ") + first.length();
         parting = false;
-        Gate gate = step == Step.READS ? new Gate(step, used ? 1 : 0) : null;
+        Gate gate = step == Step.READS ? gate(step, used ? 1 : 0) : null;
         try (HttpConnection client = client()) {
             until(what, () -> listener.size() == 1);
             if (used) {
@@ -242,7 +220,7 @@
                 case CLOSES -> when(step, 0, () -> send(client, first));
                 case READS -> gate.reached();
                 default -> {
-                    gate = new Gate(step, 0);
+                    gate = gate(step, 0);
                     send(client, first);
                     gate.reached();
                 }
@@ -264,17 +242,76 @@
         until(what + ": its end", () -> listener.over() || listener.size() == 0);
     }
 
+    private void room(int legs, int kept) {
+        sizes = new Config.Sizes(8, legs, kept, 8, 8, 8);
+    }
+
+    /**
+     * A leg's place is wanted in the moment in which it has read a request, or a part of one: that is refused
+     * and not lost, nor served where its client's leaving could not be seen.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9, 1000})
+    void whatIsReadWhileItsPlaceIsWantedIsAnswered(int length) throws Exception {
+        String first = REQUEST.substring(0, Math.min(length, REQUEST.length()));
+        room(1, 8);
+        known.run();
+        try (HttpConnection client = client()) {
+            until("it is there", () -> listener.size() == 1);
+            Gate gate = gate(Step.HAS_READ, 0);
+            send(client, first);
+            gate.reached();
+            try (HttpConnection other = client()) {
+                until("the other has its place", () -> listener.size() == 2);
+                gate.open();
+                assertEquals(503, status(client));
+                send(other, REQUEST);
+                assertTrue(status(other) > 0);
+            }
+        }
+    }
+
+    /** A useful client's request comes in pieces while too many connections are kept: another one ends. */
+    @Test
+    void aRequestInPiecesKeepsItsConnection() throws Exception {
+        room(8, 1);
+        known.run();
+        worker.script = call -> {
+            call.open();
+            call.done("ok");
+        };
+        try (HttpConnection early = client(); HttpConnection late = client()) {
+            for (HttpConnection each : new HttpConnection[] {early, late}) {
+                send(each, Loopback.job("page", each == early ? "early" : "late", 4000));
+                assertEquals(200, status(each));
+            }
+            int before = bytesRead.get();
+            send(early, REQUEST.substring(0, 9));
+            until("it is read", () -> bytesRead.get() == before + 9);
+            send(late, REQUEST);                                 // so it has rested for less time
+            assertEquals(200, status(late));
+            try (HttpConnection fourth = client()) {             // its coming has one of the two end
+                send(fourth, REQUEST);
+                assertEquals(200, status(fourth));
+                send(early, REQUEST.substring(9));
+                assertEquals(200, status(early), "lost, read in part");
+                assertEquals(0, status(late));
+            }
+        }
+    }
+
     /** What the system has accepted and the program not yet is served, before the listener is over. */
     @Test
     void whatWaitsInTheQueueIsServedBeforeTheListenerCloses() throws Exception {
-        Gate gate = new Gate(Step.ACCEPTS, 0);
+        Gate gate = gate(Step.ACCEPTS, 0);
         gate.reached();
         HttpConnection[] waiting = new HttpConnection[20];
         for (int i = 0; i < waiting.length; i++) {
             waiting[i] = client();
             send(waiting[i], REQUEST.substring(0, 1 + i % REQUEST.length()));
         }
-        until("all are in the queue", () -> queued() == waiting.length);
+        until("all are in the queue", () -> Loopback.connections(door.getLocalPort(),
+            Loopback.ESTABLISHED) == waiting.length);
         listener.close();
         assertTrue(!listener.closed());
         gate.open();
@@ -353,23 +390,11 @@
         }
     }
 
-    /** Connections to the door that the system holds as open, accepted or not. */
-    private int queued() {
-        String mine = String.format(":%04X ", door.getLocalPort());
-        try (Stream<String> v4 = Files.lines(Path.of("/proc/net/tcp"));
-             Stream<String> v6 = Files.lines(Path.of("/proc/net/tcp6"))) {
-            return (int) Stream.concat(v4, v6).map(l -> l.trim().split(" +", 4))
-                .filter(f -> (f[1] + ' ').endsWith(mine) && f[3].startsWith("01 ")).count();
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     /** After the last look into the queue nothing that comes is read: its client may turn elsewhere. */
     @Test
     void whatComesAfterTheLastLookIsNotRead() throws Exception {
         AtomicReference<HttpConnection> late = new AtomicReference<>();
-        Gate gate = new Gate(Step.ACCEPTS, 0);
+        Gate gate = gate(Step.ACCEPTS, 0);
         gate.reached();
         listener.close();
         when(Step.NONE_CAME, 1, () -> {                          // the one before may have begun earlier
