After a stray answer orders get new connections; an ignored SIGHUP is told; more crossings forced

Cause: read line by line. A second answer on a kept connection that is a marked refusal names no job: it would prove of the next job that it never ran.

--- a/src/main/java/maplespread/Start.java
+++ b/src/main/java/maplespread/Start.java
@@ -17,6 +17,7 @@
 import maplespread.log.Event;
 import org.tinylog.Logger;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * What the way in and the command line both start: {@code serve} is one real dispatcher, {@code drill} speaks
@@ -134,7 +135,10 @@
     /** Guards against the JVM's own answer to SIGHUP, which is to exit: the first thing that a start does. */
     static void onHangup(Runnable work) {
         try {
-            Signal.handle(new Signal("HUP"), signal -> work.run());
+            if (Signal.handle(new Signal("HUP"), signal -> work.run()) == SignalHandler.SIG_IGN) {
+                Logger.warn("SIGHUP was ignored when this process was started, as under nohup, and is not "
+                    + "heard: start it otherwise, or restart it for a new configuration");
+            }
         } catch (IllegalArgumentException e) {
             Logger.warn("SIGHUP cannot be heard here: {}", e.getMessage());
         }
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -92,7 +92,7 @@
         return phase() == Phase.ENDING;
     }
 
-    /** With its answer a request is over, though this leg's thread may still wait for what its client sends. */
+    /** With its answer a request is over, though this leg's thread may still wait for its client's bytes. */
     private synchronized Phase phase() {
         return phase == Phase.WORKING && current.given() ? Phase.RESTING : phase;
     }
--- a/src/main/java/maplespread/caller/Listener.java
+++ b/src/main/java/maplespread/caller/Listener.java
@@ -68,9 +68,16 @@
     }
 
     private void serve(Socket socket) throws IOException {
+        HttpConnection connection;
+        try {
+            connection = new HttpConnection(socket);
+        } catch (IOException e) {
+            socket.close();                                      // it has been reset meanwhile
+            throw e;
+        }
         freeClients();
         boolean room = room();
-        CallerLeg leg = new CallerLeg(new HttpConnection(socket), service, !room);
+        CallerLeg leg = new CallerLeg(connection, service, !room);
         legs.add(leg);
         Runnable work = () -> {
             try {
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -225,7 +225,9 @@
             throw new ConfigError("settings." + key, "not a number: " + text);
         }
         if (!(v >= low && v <= high)) {
-            throw new ConfigError("settings." + key, "out of range: " + text);
+            String from = low == Math.nextUp(0.0) ? "above 0" : "from " + low;
+            throw new ConfigError("settings." + key, "out of range: " + text + "; " + from + " up to " + high
+                + " may stand there");
         }
     }
 
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -212,6 +212,9 @@
                 return ended(Outcome.CANCELLED);
             }
             if (e instanceof HttpError) {
+                if (link.kept) {
+                    links.strayed();                             // it may belong to an answer before it
+                }
                 seldom.warn("malformed answer of worker " + branch.worker() + ": " + e.getMessage());
                 return ended(Outcome.RESET);
             }
--- a/src/main/java/maplespread/worker/Links.java
+++ b/src/main/java/maplespread/worker/Links.java
@@ -73,6 +73,9 @@
             if (link.idled < trustedNanos() && !link.connection.stale()) {
                 return link;
             }
+            if (link.connection.buffer().hasRemaining()) {
+                strayed();
+            }
             close(link);
         }
         InetSocketAddress to = RouteReader.address(address);
@@ -161,6 +164,15 @@
         }
     }
 
+    /**
+     * Bytes came on a kept connection that nobody had asked for. A refusal names no job: one that follows
+     * another answer, and comes a moment later, would prove of the next job that it never ran. So what must
+     * not run twice gets new connections for a while, as where kept ones break.
+     */
+    synchronized void strayed() {
+        broken = 0.97 * broken + 0.03;
+    }
+
     /** Takes a connection back after a whole answer. */
     void release(Link link) {
         synchronized (this) {
--- a/src/test/java/maplespread/Program.java
+++ b/src/test/java/maplespread/Program.java
@@ -12,7 +12,14 @@
     /** Started with {@code command} and these variables; what it says goes to {@code log}. */
     public static Process start(String command, Map<String, String> env, Path log, String... flags)
             throws Exception {
-        List<String> call = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx40m",
+        return startUnder(List.of(), command, env, log, flags);
+    }
+
+    /** The same, called by another program. */
+    public static Process startUnder(List<String> caller, String command, Map<String, String> env, Path log,
+            String... flags) throws Exception {
+        List<String> call = new ArrayList<>(caller);
+        call.addAll(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx40m",
             "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"));
         call.addAll(List.of(flags));
         call.addAll(List.of("-cp", System.getProperty("java.class.path"), "maplespread.Main", command));
--- a/src/test/java/maplespread/SignalsTest.java
+++ b/src/test/java/maplespread/SignalsTest.java
@@ -1,11 +1,14 @@
 package maplespread;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -20,10 +23,18 @@
         assertEquals(0, new ProcessBuilder(call).inheritIO().start().waitFor(), String.join(" ", call));
     }
 
-    private static void write(Path pipe, String text) throws Exception {
-        CompletableFuture.runAsync(() -> {
+    /** The process, whose configuration is a pipe. */
+    private static Process serve(Path pipe, Path log) throws Exception {
+        run("mkfifo", pipe.toString());
+        return Program.start("serve", Map.of("BALANCER_CONFIG", pipe.toString(), "BALANCER_LISTEN",
+            "127.0.0.1:0"), log);
+    }
+
+    /** The pipe, once the process has opened it too, and waits for what comes. */
+    private static OutputStream opened(Path pipe) throws Exception {
+        return CompletableFuture.supplyAsync(() -> {
             try {
-                Files.writeString(pipe, text);                   // waits until it is opened for reading
+                return Files.newOutputStream(pipe);
             } catch (IOException e) {
                 throw new AssertionError(e);
             }
@@ -38,28 +49,47 @@
         }
     }
 
+    /** A process that is told to end while it reads its configuration ends, and opens nothing. */
+    @Test void aTermBeforeTheConfigurationIsReadEndsTheProcess(@TempDir Path dir) throws Exception {
+        Path log = dir.resolve("log");
+        Process process = serve(dir.resolve("config.json"), log);
+        try (OutputStream held = opened(dir.resolve("config.json"))) {
+            process.destroy();                                   // SIGTERM
+            assertTrue(process.waitFor(LIMIT_S, TimeUnit.SECONDS));
+        } finally {
+            process.destroyForcibly();
+        }
+        assertFalse(Files.readString(log).contains(" serves on "));
+    }
+
+    /** Whoever starts it with SIGHUP ignored is told, as no new configuration would ever be taken up. */
+    @Test void anIgnoredHangupIsTold(@TempDir Path dir) throws Exception {
+        Path log = dir.resolve("log");
+        Process process = Program.startUnder(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"), "serve",
+            Map.of("BALANCER_CONFIG", "example/config.json", "BALANCER_LISTEN", "127.0.0.1:0"), log);
+        try {
+            until(process, log, " serves on ");
+            assertTrue(Files.readString(log).contains("SIGHUP was ignored"));
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /** Guards a process that is being started against its end, and the new configuration against its loss. */
     @Test void aHangupBeforeTheConfigurationIsReadIsHeard(@TempDir Path dir) throws Exception {
         Path pipe = dir.resolve("config.json");
         Path log = dir.resolve("log");
-        run("mkfifo", pipe.toString());
-        String text = Files.readString(Path.of("example/config.json"));
-        Process process = Program.start("serve", Map.of("BALANCER_CONFIG", pipe.toString(),
-            "BALANCER_LISTEN", "127.0.0.1:0"), log);
+        byte[] text = Files.readAllBytes(Path.of("example/config.json"));
+        Process process = serve(pipe, log);
         try {
-            var opened = CompletableFuture.supplyAsync(() -> {
-                try {
-                    return Files.newOutputStream(pipe);          // waits until it is opened for reading
-                } catch (IOException e) {
-                    throw new AssertionError(e);
-                }
-            }).get(LIMIT_S, TimeUnit.SECONDS);
-            run("kill", "-HUP", Long.toString(process.pid()));
-            try (opened) {
-                opened.write(text.getBytes());
+            try (OutputStream first = opened(pipe)) {
+                run("kill", "-HUP", Long.toString(process.pid()));
+                first.write(text);
             }
             until(process, log, " serves on ");
-            write(pipe, text);                                   // for the reload, after the start
+            try (OutputStream again = opened(pipe)) {            // for the reload, after the start
+                again.write(text);
+            }
             until(process, log, "configuration: read anew");
         } finally {
             process.destroyForcibly();
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -4,6 +4,7 @@
 import static maplespread.net.Loopback.until;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -131,11 +132,12 @@
             dispatcher.report(config.known());
             Links links = new Links(() -> config, config::sizes, dialer);
             branches = new Branches(() -> config, links, dispatcher, figures);
-            Service service = new Service(() -> config, dispatcher, branches, new Starts(work -> transactions.accept(() -> {
-                    work.run();
-                    over.incrementAndGet();
-                })), config::sizes, figures, () -> true, () -> null, () -> false, () -> Long.MAX_VALUE, null,
-                null);
+            Starts counted = new Starts(work -> transactions.accept(() -> {
+                work.run();
+                over.incrementAndGet();
+            }));
+            Service service = new Service(() -> config, dispatcher, branches, counted, config::sizes, figures,
+                () -> true, () -> null, () -> false, () -> Long.MAX_VALUE, null, null);
             listener = new Listener(door, service, new Starts(legs), new Starts(legs));
             threads.execute(listener);
         }
@@ -259,7 +261,7 @@
         }
     }
 
-    /** Called off while its bytes are written: they were not all written, and nothing speaks against the worker. */
+    /** Called off while it is written: not all was written, and nothing speaks against the worker. */
     @Test void anAttemptCalledOffWhileItIsWrittenWasNeverSent() throws Exception {
         Gate gate = new Gate();
         try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
@@ -275,8 +277,8 @@
             })) {
             Transaction t = new Transaction(0, 0, node.dispatcher.nowUs() + 60_000_000, 50, 1, 0, null);
             Branch branch = (Branch) node.dispatcher.pick(t);
-            Future<Outcome> outcome = threads.submit(() -> node.branches.run(branch, new Message("POST", "/page/x",
-                "a", "page", List.of(), new byte[4])).outcome);
+            Message message = new Message("POST", "/page/x", "a", "page", List.of(), new byte[4]);
+            Future<Outcome> outcome = threads.submit(() -> node.branches.run(branch, message).outcome);
             gate.reached();
             node.branches.cancel(branch);
             gate.open();
@@ -285,6 +287,68 @@
         }
     }
 
+    /** A worker is told no more time than its job has left when its connection is up. */
+    @Test void theTimeToldIsWhatIsLeftWhenTheConnectionIsUp() throws Exception {
+        Gate gate = new Gate();
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            this::plainly, this::plainly, (to, limitMs) -> {
+                gate.pass();
+                return HttpConnection.dial(to, Loopback.LIMIT_MS);
+            }); HttpConnection client = node.client(job("order", "a", 4000))) {
+            gate.reached();
+            long chosenUs = node.dispatcher.nowUs();
+            until("some of its time is over", () -> node.dispatcher.nowUs() > chosenUs + 100_000);
+            gate.open();
+            assertEquals(200, status(client));
+            long told = Long.parseLong(worker.calls.peek().head.get("X-Remaining-Ms"));
+            assertTrue(told <= 3900, "told " + told);
+        }
+    }
+
+    /** A worker goes in the middle of a line: what must not run twice is failed, the rest goes elsewhere. */
+    @ParameterizedTest
+    @ValueSource(strings = {"order", "page"})
+    void halfALineIsAnEndThatMayHaveRun(String lane) throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        Loopback.Script script = call -> {
+            if (calls.getAndIncrement() > 0) {
+                DONE.answer(call);
+                return;
+            }
+            call.open();
+            call.raw("20\r\n{\"id\":\"a\",\"state\":\"do");
+            call.link.close();
+        };
+        try (Peer one = new Peer(script); Peer other = new Peer(script); Node node = new Node(
+            Loopback.config("127.0.0.1:1", one, other), this::plainly, this::plainly, HttpConnection::dial);
+             HttpConnection client = node.client(job(lane, "a", 4000))) {
+            assertEquals(lane.equals("order") ? 502 : 200, status(client));
+            assertEquals(lane.equals("order") ? 1 : 2, jobs(one, other).size());
+        }
+    }
+
+    /**
+     * A second answer follows the first one on a kept connection: what must not run twice goes over new ones
+     * then, as a refusal that names no job would prove of it that it never ran.
+     */
+    @Test void afterAStrayAnswerAnOrderGetsAConnectionOfItsOwn() throws Exception {
+        try (Peer worker = new Peer(DONE); Node node = new Node(Loopback.config("127.0.0.1:1", worker),
+            this::plainly, this::plainly, HttpConnection::dial);
+             HttpConnection client = node.client(job("page", "a", 4000))) {
+            assertEquals(200, status(client));
+            until("its connection is kept", () -> node.over.get() == 1);
+            worker.calls.peek().raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            for (String id : new String[] {"b", "c"}) {
+                client.send(job("order", id, 4000).getBytes());
+                assertEquals(200, status(client));
+                int over = id.equals("b") ? 2 : 3;
+                until("its connection is kept", () -> node.over.get() == over);
+            }
+            assertEquals(3, worker.links.size(), "connections");
+            assertEquals(List.of("a", "b", "c"), jobs(worker));
+        }
+    }
+
     /** A drain is told between the choice and the first byte: the job goes to the other worker, once. */
     @Test void aDrainToldWhileTheConnectionComesUpIsObeyed() throws Exception {
         Gate gate = new Gate();
