A node that has sent nothing for half its memory tries the cheapest worker

Checked: per-node lines of what each refusal was priced on: the usual queue of a kind stood at 0.3 to 1.9 s for up to 6 s, from the last start that the node itself had seen; who sends nothing learns nothing, so the refusing lasts. At fault: Logic.price, which has every cost of one and more refused, whatever its belief rests on. Change: after half the memory without a send the cheapest worker is tried.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -1,10 +1,6 @@
 package maplespread.decision;
 
-import static maplespread.decision.Numbers.clamp;
-import static maplespread.decision.Numbers.draw;
-import static maplespread.decision.Numbers.fade;
-import static maplespread.decision.Numbers.hash;
-import static maplespread.decision.Numbers.mix;
+import static maplespread.decision.Numbers.*;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -905,7 +901,8 @@
         double toll = w.zone == set.zone() ? 0 : set.crossZone() / q.weight;
         // Departure "open connections": so does the time that a new one is likely to lose.
         toll += dialShare < 1e-3 || w.connected() ? 0 : dialFailures() * allow.dialTimeoutMs() / tau;
-        return cost < 1 ? cost + toll + w.failing(q.cls) : REFUSED;
+        // Departure "trial": who sends nothing learns nothing, and would refuse all for as long as it lasts.
+        return cost < 1 || now - lastSent > horizon / 2 ? cost + toll + w.failing(q.cls) : REFUSED;
     }
 
     /**
@@ -949,7 +946,10 @@
         return q.key == 0 ? 0 : (FETCH + CRAMMED * clamp(crammed - 1, 0, 1)) * miss * meanAll();
     }
 
+    private double lastSent = Double.NEGATIVE_INFINITY;
+
     private void send(Req q, Worker w) {
+        lastSent = now;
         Attempt a = new Attempt(q, w);
         if (w.held.isEmpty()) {
             busy.add(w);
--- a/src/test/java/maplespread/decision/LogicTest.java
+++ b/src/test/java/maplespread/decision/LogicTest.java
@@ -70,6 +70,24 @@
         assertTrue(served >= 4 && served < 40, "took " + served);
     }
 
+    /**
+     * Guards against a node that turns all away because of what it once learnt: who sends nothing learns
+     * nothing. Here no worker ever says a word more, so only the trials go out.
+     */
+    @Test void whoRefusesAllTriesAgainNowAndThen() {
+        Host h = two();
+        long id = 0;
+        while (h.take(++id, 500).end.isEmpty()) {
+            assertTrue(id < 60, "all are taken");
+        }
+        int tried = 0;
+        for (int i = 0; i < 110; i++) {                          // eleven seconds; the memory is ten
+            h.pass(100);
+            tried += h.take(++id, 500).tries.size();
+        }
+        assertTrue(tried >= 2 && tried <= 3, "tried " + tried);
+    }
+
     /** How many are taken after a rush of jobs, each served at once, so that no backlog stands. */
     private static int takenAfterARush(double leftMs) {
         Host h = two();
