A call for the list that waited in vain is followed after about as long again

All survivors of the outage had their list by 18.5 s now; 28 of the 73 nodes restarted at 16.4 s had none until the end: all 39 calls that failed after 2 s at 18.5 were made again within half a second, failed together at 20.9 to 21.3, and again at 24; nobody got a list from 18.5 to 23.5, though 18 a second did before. So calls given up are served all the same, and each wave waits behind the last one's dead calls. At fault: Logic.listFailed, whose first back-off (0.25 to 0.75 s) does not look at how long the call had waited. Change: the wait is 0.4 to 1.2 of the longer of the exponential one and the time that the call waited, 2 s at most. That the dead calls are served is inferred from the times, not seen.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -92,10 +92,10 @@
 
     @Override public void listFailed(long nowUs) {
         at(nowUs);
-        // Jittered backoff: the list is one service for all nodes, and calls in step would all be late again.
-        double most = Math.min(rules.askWithinMs() / 4, TOLD / 5);
+        // Jittered: calls in step would all be late. As long as this one waited: its queue is served, though dead.
+        double most = Math.min(rules.askWithinMs() / 4, TOLD / 5), took = watchAt < 1e300 ? now - askedAt : 0;
         double wait = Math.min(most, horizon / 20 * (1L << Math.min(++watchFails, 6)));
-        watchAt = now + wait * (0.5 + random.nextDouble());
+        watchAt = now + Math.max(wait, Math.min(took, TOLD / 3)) * (0.4 + 0.8 * random.nextDouble());
     }
 
     @Override public void request(long nowUs, Request r) {
@@ -211,7 +211,7 @@
 
     // ------------------------------------------------------------ roster: list, asking, drains
 
-    private double watchAt = Double.POSITIVE_INFINITY;
+    private double watchAt = Double.POSITIVE_INFINITY, askedAt;
     private int watchFails;
 
     private void entry(Entry e) {
@@ -1006,6 +1006,7 @@
     private void upkeep() {
         if (now >= watchAt && set.ask()) {
             actions.watch();
+            askedAt = now;
             watchAt = now + rules.askWithinMs() / 2;             // no answer by then: ask again
         }
         for (Worker w : busy) {
