--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -92,7 +92,7 @@
 
     @Override public void listFailed(long nowUs) {
         at(nowUs);
-        // Jittered: calls in step would all be late. As long as this one waited: dead calls are served as well.
+        // Jittered: calls in step would all be late. As long as this one waited: dead calls are served too.
         double most = Math.min(rules.askWithinMs() / 4, TOLD / 5), took = watchAt < 1e300 ? now - askedAt : 0;
         double wait = Math.min(most, horizon / 20 * (1L << Math.min(++watchFails, 6)));
         watchAt = now + Math.max(wait, Math.min(took, TOLD / 3)) * (0.4 + 0.8 * random.nextDouble());
