Log and count list state, how calls for it end, and why requests end unserved

Missing at the incident: which list a sender went by, how calls for the list ended, why a request was refused or an attempt not made. Added, kept: list.state (UNCONFIRMED, CONFIRMED, RENEWING, UNREACHABLE, STALE) with age and revision, discovery.watch_ended with why and times, request.unserved and attempt.not_sent with id and reason, attempt.sent_by_unconfirmed_list, and app_unserved by reason. ListFreshness holds the state; nothing obeys it yet, so what is sent is as before.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -26,6 +26,7 @@
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.console.Console;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -121,8 +122,13 @@
             }
 
             @Override
-            public void watchLost() {
-                dispatcher.reportWatchLost();
+            public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
+                dispatcher.reportWatchLost(loss, heardAgoMs);
+            }
+
+            @Override
+            public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+                dispatcher.reportUnconfirmed(why, heardAgoMs);
             }
         };
         parts = new Parts(config, operator, new Own());
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.RejectedExecutionException;
 import maplespread.config.Config;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -17,6 +18,8 @@
 import maplespread.http.HttpHead;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
+import maplespread.http.Seldom;
+import maplespread.log.Event;
 import maplespread.worker.Branches;
 import org.tinylog.Logger;
 
@@ -32,6 +35,7 @@
     private static final double FULL_PAUSE_MS = 250; // beyond capacity the module is not asked
     private static final int MOST_FAULTS = 4; // in a row, then the connection ends
     private static final long FAULT_PAUSE_MS = 25; // doubles with each
+    private static final Seldom UNSERVED = new Seldom();
     private static final Turns.Go NO_TURN = new Turns.Go() { // where jobs have no order
                 @Override
                 public boolean still() {
@@ -471,8 +475,14 @@
                 over = true;
                 boolean sure = go.over(false) != Turns.End.DOUBT;
                 if (word instanceof Word.BusyAnswer busy) {
+                    unserved(job, busy.why());
                     answer.busy(busy.pauseMs());
-                } else if (word instanceof Word.Failed && sure) {
+                    return;
+                }
+                if (word instanceof Word.Failed failed) {
+                    unserved(job, failed.why());
+                }
+                if (word instanceof Word.Failed && sure) {
                     answer.failed(502, "no worker served it");
                 } else if (word instanceof Word.Failed) {
                     answer.doubtful("it may have run, or may yet run");
@@ -495,6 +505,15 @@
         }
     }
 
+    /** Refusals under load are counted alone; each other reason is worth a line. */
+    private void unserved(JobRequest job, Dispatch.Refusal why) {
+        service.figures().unserved(why);
+        if (why != Dispatch.Refusal.OVERLOADED) {
+            UNSERVED.info(() -> Event.of(
+                    "request.unserved", "transaction", job.message.id(), "why", why, "list", dispatcher.listState()));
+        }
+    }
+
     private void say(JobRequest job, Answer answer, Turns.Said said) {
         if (!said.taken()) {
             service.ids().untaken(job.message.id());
--- a/src/main/java/maplespread/cli/RegistryCommands.java
+++ b/src/main/java/maplespread/cli/RegistryCommands.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import maplespread.config.OperatorReader;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Route;
 import maplespread.facade.RouteNews;
 import maplespread.registry.RegistrySettings;
@@ -104,7 +105,10 @@
                         }
 
                         @Override
-                        public void watchLost() {}
+                        public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {}
+
+                        @Override
+                        public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {}
                     });
         }
     }
--- /dev/null
+++ b/src/main/java/maplespread/facade/SendCheck.java
@@ -0,0 +1,14 @@
+package maplespread.facade;
+
+/** Whether an attempt may leave the process at this moment, or why not: {@link Dispatcher#check}. */
+public enum SendCheck {
+    ALLOWED,
+    /** The turn in its ordered partition is no longer this request's. */
+    TURN_LOST,
+    /** It was answered, or its client has left. */
+    REQUEST_ENDED,
+    /** The server drains, is gone, or has another address. */
+    SERVER_NOT_LISTED,
+    /** Its server would no longer know a repeat. */
+    REPEAT_WINDOW_OVER
+}
--- a/src/main/java/maplespread/figures/Figures.java
+++ b/src/main/java/maplespread/figures/Figures.java
@@ -1,9 +1,11 @@
 package maplespread.figures;
 
 import java.util.Collection;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.LongAdder;
+import maplespread.log.Event;
 import org.tinylog.Logger;
 
 /**
@@ -37,6 +39,7 @@
     private final LongAdder left = new LongAdder();
     private final LongAdder unread = new LongAdder();
     private volatile Hosts hosts = new Hosts(0, 0);
+    private final Map<String, LongAdder> unserved = new ConcurrentSkipListMap<>(); // by reason
     private long[] logged = new long[7];
 
     /** Has these classes shown, at 0 where nothing has come of them. */
@@ -96,6 +99,12 @@
         left.increment();
     }
 
+    /** A job was ended unserved for this reason. */
+    public void unserved(Enum<?> why) {
+        unserved.computeIfAbsent(why.name().toLowerCase(Locale.ROOT), n -> new LongAdder())
+                .increment();
+    }
+
     /** A connection was refused unread, as no thread was left for it: what it brought is of no class. */
     public void unread() {
         unread.increment();
@@ -123,7 +132,7 @@
                 all.append("app_calls{tier=\"")
                         .append(name)
                         .append("\",code=\"")
-                        .append(code.name().toLowerCase(java.util.Locale.ROOT))
+                        .append(code.name().toLowerCase(Locale.ROOT))
                         .append("\"} ")
                         .append(c.ended[code.ordinal()].sum())
                         .append('\n');
@@ -134,6 +143,7 @@
         line(all, "inflight", inflight());
         line(all, "hosts_listed", now.listed());
         line(all, "hosts_down", now.down());
+        unserved.forEach((why, count) -> line(all, "unserved{why=\"" + why + "\"}", count.sum()));
         line(all, "reconfig_ok", reconfigOk.sum());
         line(all, "reconfig_failed", reconfigFailed.sum());
         return all.toString();
@@ -168,6 +178,11 @@
                     "served {}, busy {}, failed {}, clients left {}; faulty requests {}, silent legs "
                             + "closed for others {}, refused unread {}; {} caller legs",
                     d);
+            if (!unserved.isEmpty()) {
+                Event since = Event.of("requests.unserved_since_start");
+                unserved.forEach((why, count) -> since.with(why, count.sum()));
+                since.info();
+            }
         }
     }
 }
--- a/src/main/java/maplespread/partition/client/Fleet.java
+++ b/src/main/java/maplespread/partition/client/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import maplespread.config.Config;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Route;
 import maplespread.facade.RouteNews;
 import maplespread.partition.Partition;
@@ -111,7 +112,12 @@
     }
 
     @Override
-    public void watchLost() {
-        next.watchLost();
+    public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
+        next.watchLost(loss, heardAgoMs);
+    }
+
+    @Override
+    public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+        next.unconfirmed(why, heardAgoMs);
     }
 }
--- a/src/main/java/maplespread/parts/StarvationPart.java
+++ b/src/main/java/maplespread/parts/StarvationPart.java
@@ -9,6 +9,7 @@
 import maplespread.config.StarvationSettings;
 import maplespread.console.Calls.Call;
 import maplespread.console.Calls.Reply;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Ends;
 import maplespread.facade.RouteNews;
 import maplespread.log.Event;
@@ -60,8 +61,13 @@
             }
 
             @Override
-            public void watchLost() {
-                next.watchLost();
+            public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
+                next.watchLost(loss, heardAgoMs);
+            }
+
+            @Override
+            public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+                next.unconfirmed(why, heardAgoMs);
             }
         };
     }
--- a/src/main/java/maplespread/release/client/Sight.java
+++ b/src/main/java/maplespread/release/client/Sight.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import maplespread.config.Config;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Route;
 import maplespread.facade.RouteNews;
 import maplespread.group.Status;
@@ -47,8 +48,13 @@
     }
 
     @Override
-    public void watchLost() {
-        next.watchLost();
+    public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
+        next.watchLost(loss, heardAgoMs);
+    }
+
+    @Override
+    public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+        next.unconfirmed(why, heardAgoMs);
     }
 
     /** {@code nowMs}: of the clock that statuses were heard by; {@code wallMs}: Unix time. */
--- a/src/main/java/maplespread/routes/Handover.java
+++ b/src/main/java/maplespread/routes/Handover.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.function.Function;
+import maplespread.decision.Dispatch;
 import maplespread.facade.RouteNews;
 import maplespread.log.Event;
 
@@ -33,10 +34,19 @@
             }
 
             @Override
-            public void watchLost() {
+            public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
                 synchronized (Handover.this) {
-                    if (!over && (made[0] == newest || made[0] == spoken)) {
-                        to.watchLost();
+                    if (speaks(made[0])) {
+                        to.watchLost(loss, heardAgoMs);
+                    }
+                }
+            }
+
+            @Override
+            public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+                synchronized (Handover.this) {
+                    if (speaks(made[0])) {
+                        to.unconfirmed(why, heardAgoMs);
                     }
                 }
             }
@@ -44,6 +54,10 @@
         return made[0];
     }
 
+    private boolean speaks(RouteSource source) {
+        return !over && (source == newest || source == spoken);
+    }
+
     /** Has another source take over once it speaks. */
     public void change(Maker next) {
         RouteSource before;
--- a/src/main/java/maplespread/routes/Narrowed.java
+++ b/src/main/java/maplespread/routes/Narrowed.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntConsumer;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Route;
 import maplespread.facade.RouteNews;
 import maplespread.subset.Cut;
@@ -55,16 +56,16 @@
                 cut.remove(r.worker());
             }
         }
-        tell(news.kind(), changed);
+        tell(news.kind(), changed, news.current());
     }
 
     /** So many dispatchers there are from now on, and so they share the workers. */
     public synchronized void fleet(int dispatchers, Cut.Wish wish) {
         cut.fleet(dispatchers, wish);
-        tell(RouteNews.Kind.CHANGES, Map.of());
+        tell(RouteNews.Kind.CHANGES, Map.of(), false); // nobody has said anything of the list
     }
 
-    private void tell(RouteNews.Kind kind, Map<String, Route> changed) {
+    private void tell(RouteNews.Kind kind, Map<String, Route> changed, boolean current) {
         boolean whole = kind != RouteNews.Kind.CHANGES;
         Set<String> used = cut.workers();
         if (cut.sharers() != told) {
@@ -93,7 +94,7 @@
             }
         }
         shown = next;
-        to.news(new RouteNews(kind, generation, on));
+        to.news(new RouteNews(kind, generation, on, current));
     }
 
     private static Route gone(Route r) {
@@ -114,7 +115,12 @@
     }
 
     @Override
-    public void watchLost() {
-        to.watchLost();
+    public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
+        to.watchLost(loss, heardAgoMs);
+    }
+
+    @Override
+    public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
+        to.unconfirmed(why, heardAgoMs);
     }
 }
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -1,9 +1,12 @@
 package maplespread.routes;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.util.SplittableRandom;
+import maplespread.decision.Dispatch.ListDoubt;
+import maplespread.decision.Dispatch.ListLoss;
 import maplespread.facade.RouteNews;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
@@ -11,6 +14,7 @@
 import maplespread.http.HttpWriter;
 import maplespread.http.Lines;
 import maplespread.http.Seldom;
+import maplespread.log.Event;
 import org.tinylog.Logger;
 
 /**
@@ -78,6 +82,7 @@
             newest.close(); // it never spoke
         }
         newest = new Source(address, 0); // its generations may count otherwise
+        to.unconfirmed(ListDoubt.MOVED, 0);
         newest.watch();
         newest.begin();
         return true;
@@ -96,6 +101,16 @@
         spoken.close();
     }
 
+    private static long sinceMs(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000;
+    }
+
+    private synchronized void fellSilent(Source source) {
+        if (source == newest && source.spoke) {
+            to.unconfirmed(ListDoubt.SILENT, sinceMs(source.heardAt));
+        }
+    }
+
     private synchronized void watchAgain(Source source) {
         source.watch();
     }
@@ -111,15 +126,22 @@
             Logger.info("{} has spoken, and no other address is watched", from.address);
         }
         from.generation = news.generation();
-        to.news(news);
+        boolean current = from == newest; // another address may know of changes that this one does not
+        to.news(current ? news : new RouteNews(news.kind(), news.generation(), news.routes(), false));
     }
 
+    /** How a watch came to its end. */
+    private record End(String why, ListLoss loss) {}
+
     /** One address of discovery. What is not final is guarded by the route set's lock. */
     private final class Source implements Runnable {
         final InetSocketAddress address;
         long generation;
         boolean heard; // news of the watch that is on
         boolean spoke; // a line of it; its own thread's
+        long calledAt; // of the call that is out, in nanoseconds; its own thread's
+        long connectedMs; // after the call its connection was up; -1: not
+        long heardAt; // the last line, or the call
         boolean wanted;
         boolean following;
         boolean over;
@@ -153,10 +175,10 @@
         public void run() {
             try {
                 while (awaitWanted()) {
-                    String end = watched();
+                    End end = watched();
                     if (ended()) {
-                        seldom.warn(address + ": " + end);
-                        to.watchLost();
+                        report(end);
+                        to.watchLost(end.loss, sinceMs(heardAt));
                         if (pushed) {
                             Thread.sleep(AGENT_AGAIN_MS);
                             RouteSet.this.watchAgain(this);
@@ -172,31 +194,61 @@
          * One watch, and those that take its place where one falls silent, were it before its first word;
          * returns why there is none. One that follows a silent one and says nothing is not followed at once.
          */
-        private String watched() {
+        private End watched() {
             boolean renewed = false;
             while (true) {
                 long silence = clock.silence(random);
                 long first = renewed || pushed ? clock.renewMs() : silence;
                 spoke = false;
+                calledAt = System.nanoTime();
+                heardAt = calledAt;
+                connectedMs = -1;
                 try {
                     follow(first, silence);
-                    return "the watch ended";
+                    return new End("the watch ended", spoke ? ListLoss.ENDED : ListLoss.NO_ANSWER);
                 } catch (SocketTimeoutException e) {
                     if (!spoke && (renewed || pushed)) {
-                        return "no word within " + first + " ms";
+                        return new End("no word within " + first + " ms", ListLoss.NO_ANSWER);
                     }
+                    fellSilent(this);
                     renewed = true;
                     heard = false;
                     seldom.warn(address + ": the watch is silent; it is begun anew");
                 } catch (IOException e) {
-                    return "the watch broke: " + e.getMessage();
+                    return new End("the watch broke: " + e.getMessage(), loss(e));
                 } catch (RuntimeException | Error e) { // without this thread drains would go unseen
                     Logger.error(e, "the watch failed");
-                    return "the watch failed";
+                    return new End("the watch failed", ListLoss.NOT_ASKED);
                 }
             }
         }
 
+        private ListLoss loss(IOException e) {
+            if (connectedMs < 0) {
+                return e instanceof ConnectException ? ListLoss.REFUSED : ListLoss.NOT_ASKED;
+            }
+            // What cannot be read is no end of discovery's: it goes on, and its changes count.
+            return spoke && !(e instanceof HttpError) ? ListLoss.ENDED : ListLoss.NO_ANSWER;
+        }
+
+        private void report(End end) {
+            Event.of(
+                            "discovery.watch_ended",
+                            "endpoint",
+                            address,
+                            "why",
+                            end.why,
+                            "loss",
+                            end.loss,
+                            "took_ms",
+                            sinceMs(calledAt),
+                            "connected_ms",
+                            connectedMs < 0 ? null : connectedMs,
+                            "spoke",
+                            spoke)
+                    .warn();
+        }
+
         private boolean awaitWanted() throws InterruptedException {
             synchronized (RouteSet.this) {
                 while (!wanted && !over) {
@@ -225,6 +277,7 @@
          */
         private void follow(long firstMs, long silenceMs) throws IOException {
             try (HttpConnection link = HttpConnection.dial(address, Math.min(firstMs, DIAL_MS))) {
+                connectedMs = sinceMs(calledAt);
                 long since;
                 synchronized (RouteSet.this) {
                     current = link;
@@ -254,6 +307,7 @@
 
         private void line(ObjectLines objects, String text) throws HttpError {
             spoke = true;
+            heardAt = System.nanoTime();
             RouteNews news;
             try {
                 String object = objects.add(text);
@@ -265,7 +319,13 @@
                 throw new HttpError(502, "malformed line: " + e.getMessage());
             }
             if (!heard) {
-                Logger.info("the watch of {} is on, generation {}", address, news.generation());
+                Logger.info(
+                        "the watch of {} is on, generation {}, {} with {} workers, {} ms after the call",
+                        address,
+                        news.generation(),
+                        news.kind(),
+                        news.routes().size(),
+                        sinceMs(calledAt));
             }
             heard = true;
             news(this, news);
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -6,10 +6,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import maplespread.config.Config;
+import maplespread.decision.Dispatch;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Load;
 import maplespread.facade.Outcome;
+import maplespread.facade.SendCheck;
 import maplespread.figures.Figures;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
@@ -18,6 +20,7 @@
 import maplespread.http.HttpWriter;
 import maplespread.http.Lines;
 import maplespread.http.Seldom;
+import maplespread.log.Event;
 
 /** Runs branches: one request to one worker each, sent once and never again by itself. */
 public final class Branches {
@@ -96,6 +99,8 @@
     private final Dispatcher dispatcher;
     private final Figures figures;
     private final Seldom seldom = new Seldom();
+    private final Seldom notSent = new Seldom();
+    private final Seldom unconfirmed = new Seldom();
     private final Map<Branch, Running> running = new ConcurrentHashMap<>();
 
     public Branches(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
@@ -143,8 +148,17 @@
         me.over(link.connection);
         // A drain may have been told while the connection came up: nothing new goes there after that.
         long left = leftMs(branch);
-        if (!dispatcher.mayUse(branch) || me.cancelled() || left <= 0) {
+        SendCheck check = dispatcher.check(branch);
+        if (check != SendCheck.ALLOWED || me.cancelled() || left <= 0) {
             links.release(link);
+            notSent.info(() -> Event.of(
+                    "attempt.not_sent",
+                    "transaction",
+                    message.id(),
+                    "worker",
+                    branch.worker(),
+                    "why",
+                    check != SendCheck.ALLOWED ? check : me.cancelled() ? "CANCELLED" : "OUT_OF_TIME"));
             return ended(Outcome.NEVER_SENT);
         }
         HttpWriter request = HttpWriter.request(message.method(), message.target(), branch.address())
@@ -154,6 +168,17 @@
         try {
             link.connection.send(request.body(message.body()));
             figures.attempt();
+            Dispatch.ListState list = dispatcher.listState();
+            if (list != Dispatch.ListState.CONFIRMED) {
+                unconfirmed.info(() -> Event.of(
+                        "attempt.sent_by_unconfirmed_list",
+                        "transaction",
+                        message.id(),
+                        "worker",
+                        branch.worker(),
+                        "list",
+                        list));
+            }
         } catch (IOException e) { // its last byte was never written
             links.close(link);
             if (me.cancelled()) { // cut off here: no word against the worker
