Nothing is sent by a list that is not confirmed in time, at any time

Cause: Logic trusted the list held at the start for 3 s and again from 9 s on, and for ever once a watch had been lost; its age was asked nowhere. A process that comes back after a long death serves by what it held before it died, until its turn to call. Seen in logs: each send to a removed server came from a process that had started when the zone came back, by a list UNCONFIRMED. Ruled out: silent watches, late connections, moves.

Change: Logic.gate and Dispatcher.check (the look just before the first byte) ask ListFreshness; a process opens its listener once the list is confirmed, 4.5 s at most, and refuses until then. Outages that end the watch still cost no service.

Stand-ins that opened a watch and said nothing now confirm the list, as the protocol has it.

--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -52,7 +52,6 @@
     private static final int ENDING_LEGS = 64;
     private static final long SWEEP_MS = 1000;
     private static final long COUNT_MS = 10_000;
-    private static final long LIST_MS = 1500; // for the list, where another one serves
     private static final long SWIFT_MS = 500; // quiet so long, a connection may end
     private static final long QUIET_MS = 50; // between looks for these
     private static final long AGAIN_MS = 250; // after clients left new ones may come
@@ -199,8 +198,8 @@
     }
 
     /**
-     * Opens the listener and serves from the list last known. Where another process of this dispatcher is to
-     * be relieved, or the list is pushed, not before it has the list anew, or has waited a while.
+     * Opens the listener once discovery has confirmed the list, or after a while: by the list of the configuration,
+     * whose age nobody knows, nothing is sent, and clients do better elsewhere until then.
      */
     public void start() throws IOException {
         sink.news(config.known());
@@ -212,11 +211,9 @@
         threads.forEach(Thread::start);
         routes.start();
         try {
-            // What an agent holds counts from a process's first moment on.
-            boolean wanted =
-                    parts.shared() || registry == null && !config.settings().ask();
-            if (wanted && !told.await(LIST_MS, TimeUnit.MILLISECONDS)) {
-                Logger.warn("no list within {} ms: serves from the one last known", LIST_MS);
+            long limitMs = config.times().firstListMs();
+            if (!told.await(limitMs, TimeUnit.MILLISECONDS)) {
+                Logger.warn("no word of the list within {} ms: refuses until it is confirmed", limitMs);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -127,7 +127,8 @@
      * Time limits in milliseconds that are not the module's. {@code firstByteMs}: for a worker to say that it
      * has taken a job; {@code legReadMs}: for a whole request, the
      * first one from connecting on; {@code acceptMs} and {@code holdMs}: how long after SIGTERM connections
-     * are still accepted, and open ones still served; {@code endMs}: when all must be answered and over.
+     * are still accepted, and open ones still served; {@code endMs}: when all must be answered and over; {@code
+     * firstListMs}: for discovery to confirm the list, before a process serves without.
      */
     public record Times(
             long dialMs,
@@ -140,5 +141,6 @@
             long longestMs,
             long acceptMs,
             long holdMs,
-            long endMs) {}
+            long endMs,
+            long firstListMs) {}
 }
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -22,6 +22,7 @@
 
 /** The one place where the configuration is read, checked and given defaults. */
 public final class ConfigReader {
+    private static final long FIRST_LIST_MS = 4500; // a turn among a hundred callers, and the answer
     private static final Set<String> EFFECTS = Set.of("read_like", "idempotency_key", "non_idempotent");
     private static final List<String> ABOVE_ZERO = List.of("aimMs", "deadlineMs");
     private static final Set<String> MAY_LACK = Set.of("seed", "known", "settings.classes[].aimStretch");
@@ -170,7 +171,8 @@
                 (long) longest,
                 500,
                 (long) Math.min(2000, longest),
-                (long) Math.min(3000, longest) + 500);
+                (long) Math.min(3000, longest) + 500,
+                FIRST_LIST_MS);
     }
 
     // ------------------------------------------------------------ settings
--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -87,12 +87,11 @@
             // A whole large fleet may start at once, and discovery answers one call after another: each has its turn.
             double last = Math.min(TOLD * 2 / 3, LINE_COST * set.balancers() * entries.size()) - TOLD / 30;
             watchAt = now + Math.max(0, last) * (set.index() % set.balancers()) / set.balancers();
-            staleAt = set.ask() ? now + TOLD / 2 : Double.POSITIVE_INFINITY;
             double first = period * (0.5 + random.nextDouble() / 2);        // nodes must not tick in step
             tickAt = now + first;
             actions.timer(first, TICK);
         } else {
-            watchAt = staleAt = Double.POSITIVE_INFINITY;
+            watchAt = Double.POSITIVE_INFINITY;
             watchFails = 0;
         }
     }
@@ -118,7 +117,6 @@
         double most = Math.min(rules.askWithinMs() / 4, TOLD / 5), took = watchAt < 1e300 ? now - askedAt : 0;
         double wait = Math.min(most, horizon / 20 * (1L << Math.min(++watchFails, 6)));
         watchAt = now + Math.max(wait, Math.min(took, TOLD / 3)) * (0.4 + 0.8 * random.nextDouble());
-        staleAt = staleAt < 1e300 && took < TOLD / 6 ? now + TOLD / 2 : staleAt;      // it is down, and tells nobody
     }
 
     @Override public void request(long nowUs, Request r) {
@@ -231,7 +229,7 @@
 
     // ------------------------------------------------------------ roster: list, asking, drains
 
-    private double watchAt = Double.POSITIVE_INFINITY, askedAt, staleAt = Double.POSITIVE_INFINITY;
+    private double watchAt = Double.POSITIVE_INFINITY, askedAt;
     private int watchFails;
 
     private void entry(Entry e) {
@@ -796,11 +794,11 @@
     private boolean allowed;                                     // any of them is finite
 
     /**
-     * Every send passes here: rules 1 and 2 (legal), 3 (only workers listed as active), 4 (coldRoom). From {@code
-     * staleAt} on a list held at the start may hide drains that count as told; for so long, or it would end service.
+     * Every send passes here: rules 1 and 2 (legal), 3 (only workers listed as active), 4 (coldRoom). A list that is
+     * not confirmed may name servers whose removal counts as notified, so its freshness is asked at every send.
      */
     private boolean gate(Req q, Worker w) {
-        return w.health == Health.ACTIVE && (now < staleAt || now > staleAt + TOLD)
+        return w.health == Health.ACTIVE && freshness.usable(now)
             && (q.spec.kind() < 0 || q.spec.kind() == w.kindNo)
             && Math.max(q.slots, q.memory) <= Math.max(1, w.slots()) && q.of.allows(w.id)
             && q.legal(w) && w.coldRoom(q.x);
@@ -811,6 +809,11 @@
         return !w.down && now >= w.tryAt;
     }
 
+    /** Whether a request may be sent by the list at this moment, which may be later than its choice. */
+    public boolean listUsable(long nowUs) {
+        return freshness.usable(nowUs / 1000.0);
+    }
+
     /** How many listed workers get nothing new at present: leaving, down or resting. */
     public int avoided() {
         return (int) workers.all().stream().filter(w -> w.health != Health.ACTIVE || !ready(w)).count();
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -292,6 +292,9 @@
             if (r == null || r.state() != Route.State.SERVING || !r.address().equals(b.address())) {
                 return SendCheck.SERVER_NOT_LISTED;
             }
+            if (!logic.listUsable(nowUs())) { // it may have gone stale while the connection came up
+                return SendCheck.LIST_NOT_CONFIRMED;
+            }
             return inWindow(b.transaction()) ? SendCheck.ALLOWED : SendCheck.REPEAT_WINDOW_OVER;
         } finally {
             lock.unlock();
--- a/src/main/java/maplespread/facade/SendCheck.java
+++ b/src/main/java/maplespread/facade/SendCheck.java
@@ -9,6 +9,8 @@
     REQUEST_ENDED,
     /** The server drains, is gone, or has another address. */
     SERVER_NOT_LISTED,
+    /** The list may be out of date by now. */
+    LIST_NOT_CONFIRMED,
     /** Its server would no longer know a repeat. */
     REPEAT_WINDOW_OVER
 }
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
+import maplespread.decision.Dispatch;
 import org.junit.Test;
 
 /** The facade alone, with no socket: what it guards between the network code and the module. */
@@ -26,6 +27,7 @@
                 RouteNews.Kind.HELD,
                 1,
                 Arrays.stream(workers).map(w -> route(w, Route.State.SERVING)).toList()));
+        d.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
         return d;
     }
 
@@ -80,6 +82,45 @@
         assertEquals(SendCheck.REQUEST_ENDED, d.check(b));
     }
 
+    /** Guards drains that were never told: the list may go stale while a connection comes up. */
+    @Test
+    public void aListThatWentStaleAfterThePickForbidsTheSend() throws Exception {
+        Dispatcher d = dispatcher("a", "bb");
+        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 3000);
+        assertEquals(SendCheck.ALLOWED, d.check(b));
+        d.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
+        d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 6000);
+        assertEquals(SendCheck.LIST_NOT_CONFIRMED, d.check(b));
+        d.report(b, Outcome.NEVER_SENT, null);
+        Thread ticker = new Thread(() -> {
+            try {
+                while (true) {
+                    d.tick(1000);
+                }
+            } catch (InterruptedException over) {
+                // the test is over
+            }
+        });
+        ticker.start();
+        Word word = d.pick(b.transaction());
+        ticker.interrupt();
+        assertTrue(
+                word.toString(),
+                word instanceof Word.BusyAnswer busy && busy.why() == Dispatch.Refusal.LIST_NOT_CONFIRMED);
+    }
+
+    /** Guards the order of sources: what the address left behind says does not vouch for the one that counts now. */
+    @Test
+    public void newsOfASourceLeftBehindConfirmsNothing() throws Exception {
+        Dispatcher d = dispatcher("a");
+        d.reportUnconfirmed(Dispatch.ListDoubt.MOVED, 0);
+        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(), false));
+        assertEquals(Dispatch.ListState.RENEWING, d.listState());
+        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(), true));
+        assertEquals(Dispatch.ListState.CONFIRMED, d.listState());
+    }
+
     /** Guards the whole list: who is absent from it is gone. */
     @Test
     public void aWholeListDropsTheAbsent() throws Exception {
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -138,6 +138,7 @@
             Figures figures = new Figures();
             dispatcher = new Dispatcher(config.settings(), 1, false);
             dispatcher.report(config.known());
+            dispatcher.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
             Links links = new Links(() -> config, config::sizes, dialer);
             branches = new Branches(() -> config, links, dispatcher, figures);
             Starts counted = new Starts(work -> transactions.accept(() -> {
