--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -98,7 +98,11 @@
 
     @Override public void listConfirmed(long nowUs) {
         at(nowUs);
+        boolean usable = freshness.usable(now);
         freshness.confirmed(now);
+        if (!usable) {
+            placeParked();                                       // they have waited for this
+        }
     }
 
     @Override public void listUnconfirmed(long nowUs, ListDoubt why, double heardAgoMs) {
@@ -1045,11 +1049,7 @@
 
     private void upkeep() {
         freshness.usable(now);                                   // so that its end is told in time
-        if (now >= watchAt && set.ask()) {
-            actions.watch();
-            askedAt = now;
-            watchAt = now + rules.askWithinMs() / 2;             // no answer by then: ask again
-        }
+        askInTurn();
         for (Worker w : busy) {
             for (Attempt a : w.held) {
                 if (!a.late && overdue(a)) {
@@ -1058,6 +1058,18 @@
                 }
             }
         }
+        placeParked();
+    }
+
+    private void askInTurn() {
+        if (now >= watchAt && set.ask()) {
+            actions.watch();
+            askedAt = now;
+            watchAt = now + rules.askWithinMs() / 2;             // no answer by then: ask again
+        }
+    }
+
+    private void placeParked() {
         if (!parked.isEmpty()) {
             List<Req> waiting = List.copyOf(parked);
             parked.clear();
