--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -18,7 +18,7 @@
 import maplespread.http.HttpHead;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
 import maplespread.worker.Branches;
 import org.tinylog.Logger;
@@ -35,7 +35,7 @@
     private static final double FULL_PAUSE_MS = 250; // beyond capacity the module is not asked
     private static final int MOST_FAULTS = 4; // in a row, then the connection ends
     private static final long FAULT_PAUSE_MS = 25; // doubles with each
-    private static final Seldom UNSERVED = new Seldom();
+    private static final RateLimitedLogger UNSERVED = new RateLimitedLogger();
     private static final Turns.Go NO_TURN = new Turns.Go() { // where jobs have no order
                 @Override
                 public boolean still() {
--- a/src/main/java/maplespread/console/Console.java
+++ b/src/main/java/maplespread/console/Console.java
@@ -13,7 +13,7 @@
 import maplespread.http.HttpError;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import org.tinylog.Logger;
 
 /**
@@ -29,7 +29,7 @@
     private final ServerSocket socket = new ServerSocket();
     private final Calls calls;
     private final int places;
-    private final Seldom seldom = new Seldom();
+    private final RateLimitedLogger seldom = new RateLimitedLogger();
     private final ArrayDeque<HttpConnection> open = new ArrayDeque<>(); // the oldest first
 
     /** {@code places}: connections at once. */
--- a/src/main/java/maplespread/http/Seldom.java
+++ b/src/main/java/maplespread/http/RateLimitedLogger.java
@@ -4,7 +4,7 @@
 import org.tinylog.Logger;
 
 /** Lines that a bad peer or a bad hour could cause without end: one a second at most, and how many were held back. */
-public final class Seldom {
+public final class RateLimitedLogger {
     private static final long PERIOD_NANOS = 1_000_000_000L;
     private long lastNanos = System.nanoTime() - PERIOD_NANOS;
     private int held;
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -13,7 +13,7 @@
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
 import maplespread.http.Lines;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
 import org.tinylog.Logger;
 
@@ -33,7 +33,7 @@
     private final ListClock clock;
     private final boolean pushed;
     private final SplittableRandom random;
-    private final Seldom seldom = new Seldom();
+    private final RateLimitedLogger seldom = new RateLimitedLogger();
     private final RouteSink to;
     private final RouteReader reader;
     private Source newest; // the address that is asked
--- a/src/main/java/maplespread/upgrade/Presence.java
+++ b/src/main/java/maplespread/upgrade/Presence.java
@@ -11,7 +11,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.Optional;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import org.tinylog.Logger;
 
 /**
@@ -27,7 +27,7 @@
     private final String me;
     private final String listen;
     private final FileChannel channel;
-    private final Seldom seldom = new Seldom();
+    private final RateLimitedLogger seldom = new RateLimitedLogger();
 
     private Presence(Path dir, String me, String listen, FileChannel channel) {
         this.dir = dir;
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -19,7 +19,7 @@
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
 import maplespread.http.Lines;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
 
 /** Runs branches: one request to one worker each, sent once and never again by itself. */
@@ -98,9 +98,9 @@
     private final Links links;
     private final Dispatcher dispatcher;
     private final Figures figures;
-    private final Seldom seldom = new Seldom();
-    private final Seldom notSent = new Seldom();
-    private final Seldom unconfirmed = new Seldom();
+    private final RateLimitedLogger seldom = new RateLimitedLogger();
+    private final RateLimitedLogger notSent = new RateLimitedLogger();
+    private final RateLimitedLogger unconfirmed = new RateLimitedLogger();
     private final Map<Branch, Running> running = new ConcurrentHashMap<>();
 
     public Branches(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
