--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -29,8 +29,8 @@
 import maplespread.decision.Dispatch;
 import maplespread.facade.Chore;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Outcome;
-import maplespread.facade.RouteNews;
 import maplespread.figures.Figures;
 import maplespread.parts.Host;
 import maplespread.parts.Parts;
@@ -79,7 +79,7 @@
     private final Handover routes;
     private final RouteSink sink;
     private final Parts parts;
-    private volatile Consumer<RouteNews> tap = news -> {};
+    private volatile Consumer<EndpointUpdate> tap = news -> {};
     private RegistrySettings registry; // null: discovery has the word
     private final List<Thread> threads;
     private final ExecutorService probes;
@@ -112,9 +112,9 @@
         registry = operator.registry();
         RouteSink all = new RouteSink() {
             @Override
-            public void news(RouteNews news) {
+            public void news(EndpointUpdate news) {
                 dispatcher.report(news);
-                if (news.kind() != RouteNews.Kind.HELD) { // that one is of before the start
+                if (news.kind() != EndpointUpdate.Kind.HELD) { // that one is of before the start
                     told.countDown();
                 }
                 tap.accept(news);
@@ -327,7 +327,7 @@
     }
 
     /** Has the tools hear what the dispatcher has just learned of the route set. */
-    public void onRoutes(Consumer<RouteNews> listener) {
+    public void onRoutes(Consumer<EndpointUpdate> listener) {
         tap = listener;
     }
 
--- a/src/main/java/maplespread/cli/RegistryCommands.java
+++ b/src/main/java/maplespread/cli/RegistryCommands.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import maplespread.config.OperatorReader;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.RegistrySettings.Dialect;
 import maplespread.registry.client.RegistryAdmin;
@@ -96,11 +96,11 @@
         }
 
         /** Follows the registry; the sink hears the whole first. */
-        RegistrySource follow(java.util.function.Consumer<RouteNews> heard) throws Exception {
+        RegistrySource follow(java.util.function.Consumer<EndpointUpdate> heard) throws Exception {
             return new RegistrySource(
                     settings(), new RouteReader(List.of(), List.of()), 1, System.nanoTime(), new RouteSink() {
                         @Override
-                        public void news(RouteNews news) {
+                        public void news(EndpointUpdate news) {
                             heard.accept(news);
                         }
 
--- a/src/main/java/maplespread/config/Config.java
+++ b/src/main/java/maplespread/config/Config.java
@@ -8,7 +8,7 @@
 import java.util.Objects;
 import java.util.Set;
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.routes.ListClock;
 
 /**
@@ -27,7 +27,7 @@
         Names names,
         Sizes sizes,
         Times times,
-        RouteNews known,
+        EndpointUpdate known,
         Set<String> keys) {
     /** The operators' connections at once; their descriptors are not the clients'. */
     public static final int CONSOLE_PLACES = 12;
--- a/src/main/java/maplespread/config/ConfigReader.java
+++ b/src/main/java/maplespread/config/ConfigReader.java
@@ -16,7 +16,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.routes.ListClock;
 import maplespread.routes.RouteReader;
 
@@ -306,13 +306,13 @@
 
     // ------------------------------------------------------------ the rest
 
-    private static RouteNews known(JsonObject root, Config.Names names) throws ConfigError {
+    private static EndpointUpdate known(JsonObject root, Config.Names names) throws ConfigError {
         if (!root.has("known") || root.get("known").isJsonNull()) {
-            return new RouteNews(RouteNews.Kind.HELD, 0, List.of());
+            return new EndpointUpdate(EndpointUpdate.Kind.HELD, 0, List.of());
         }
         try {
-            RouteNews news = new RouteReader(names.zones(), names.kinds()).read(object(root, "known"));
-            return new RouteNews(RouteNews.Kind.HELD, news.generation(), news.routes());
+            EndpointUpdate news = new RouteReader(names.zones(), names.kinds()).read(object(root, "known"));
+            return new EndpointUpdate(EndpointUpdate.Kind.HELD, news.generation(), news.routes());
         } catch (RouteReader.Malformed e) {
             throw new ConfigError("known", e.getMessage());
         }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -162,9 +162,9 @@
     }
 
     /** News of the route set. */
-    public void report(RouteNews news) {
+    public void report(EndpointUpdate news) {
         locked(() -> {
-            boolean whole = news.kind() != RouteNews.Kind.CHANGES;
+            boolean whole = news.kind() != EndpointUpdate.Kind.CHANGES;
             if (whole) {
                 routes.clear(); // who is absent from the whole is gone
             }
--- a/src/main/java/maplespread/facade/RouteNews.java
+++ b/src/main/java/maplespread/facade/EndpointUpdate.java
@@ -6,8 +6,8 @@
  * What came of the route set: the whole of it or what has changed. {@code current}: its source has told all that it
  * has, and it is the source that counts now.
  */
-public record RouteNews(Kind kind, long generation, List<Route> routes, boolean current) {
-    public RouteNews(Kind kind, long generation, List<Route> routes) {
+public record EndpointUpdate(Kind kind, long generation, List<Route> routes, boolean current) {
+    public EndpointUpdate(Kind kind, long generation, List<Route> routes) {
         this(kind, generation, routes, kind != Kind.HELD);
     }
 
--- a/src/main/java/maplespread/lab/RegistryMeasure.java
+++ b/src/main/java/maplespread/lab/RegistryMeasure.java
@@ -24,8 +24,8 @@
 import maplespread.config.Operator;
 import maplespread.decision.Dispatch;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
 import maplespread.lab.registry.StandInRegistry;
@@ -127,10 +127,10 @@
         }
 
         @Override
-        public void news(RouteNews news) {
+        public void news(EndpointUpdate news) {
             dispatcher.report(news);
             long now = System.nanoTime();
-            whole |= news.kind() == RouteNews.Kind.WHOLE;
+            whole |= news.kind() == EndpointUpdate.Kind.WHOLE;
             for (Route r : news.routes()) {
                 newest = Math.max(newest, r.cell());
                 ArrayDeque<long[]> queue = out.get(r.worker());
@@ -288,7 +288,7 @@
             for (int i = 0; i < workers; i++) {
                 all.add(new Route("w" + i, "10.0.0.1:80", Route.State.SERVING, 1, 0, 0, 0, 0));
             }
-            d.report(new RouteNews(RouteNews.Kind.HELD, 1, all));
+            d.report(new EndpointUpdate(EndpointUpdate.Kind.HELD, 1, all));
             int rounds = quick ? 20_000 : 200_000;
             long start = 0;
             for (int i = 0; i < 2 * rounds; i++) {
@@ -296,8 +296,8 @@
                 int w = (int) (i * 7919L % workers);
                 Route.State state =
                         i % 3 == 0 ? Route.State.DELETED : i % 3 == 1 ? Route.State.SERVING : Route.State.DRAINING;
-                d.report(new RouteNews(
-                        RouteNews.Kind.CHANGES,
+                d.report(new EndpointUpdate(
+                        EndpointUpdate.Kind.CHANGES,
                         i + 2L,
                         List.of(new Route("w" + w, "10.0.0.1:80", state, 1, 0, 0, 0, 0))));
             }
@@ -440,7 +440,7 @@
         VirtualRegistry registry = new VirtualRegistry(settings, List.of(member));
         RegistrySink sink = new RegistrySink() {
             @Override
-            public void news(RouteNews news) {}
+            public void news(EndpointUpdate news) {}
 
             @Override
             public void event(boolean warning, String name, Object... pairs) {}
--- a/src/main/java/maplespread/lab/scale/HollowFleet.java
+++ b/src/main/java/maplespread/lab/scale/HollowFleet.java
@@ -22,8 +22,8 @@
 import maplespread.config.ConfigReader;
 import maplespread.config.Operator;
 import maplespread.config.OperatorReader;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.membership.client.Traffic;
 
 /** Hollow members of one group on loopback, all in this process. */
@@ -64,7 +64,7 @@
         this.features = features;
         key = Files.createTempFile("scale", ".key");
         Files.writeString(key, "1 " + "5a".repeat(32));
-        RouteNews workers = workers(plan, new SplittableRandom(seed));
+        EndpointUpdate workers = workers(plan, new SplittableRandom(seed));
         ports.addAll(freePorts(size));
         try {
             for (int i = 0; i < size; i++) {
@@ -89,7 +89,7 @@
         return ports;
     }
 
-    private static RouteNews workers(FleetPlan plan, SplittableRandom random) {
+    private static EndpointUpdate workers(FleetPlan plan, SplittableRandom random) {
         List<Route> routes = new ArrayList<>();
         for (int i = 0; i < plan.workers(); i++) {
             routes.add(new Route(
@@ -102,7 +102,7 @@
                     i % plan.zones(),
                     0));
         }
-        return new RouteNews(RouteNews.Kind.WHOLE, 1, routes);
+        return new EndpointUpdate(EndpointUpdate.Kind.WHOLE, 1, routes);
     }
 
     private Config config(int index, int size, long seed) throws ConfigError {
--- a/src/main/java/maplespread/lab/scale/HollowMember.java
+++ b/src/main/java/maplespread/lab/scale/HollowMember.java
@@ -12,8 +12,8 @@
 import maplespread.config.Operator;
 import maplespread.console.Calls;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Ends;
-import maplespread.facade.RouteNews;
 import maplespread.facade.Transaction;
 import maplespread.figures.Figures;
 import maplespread.parts.Host;
@@ -98,12 +98,12 @@
     private double jobsDue;
 
     /** Starts at once; {@code workers}: the whole list. */
-    HollowMember(Config config, Operator operator, RouteNews workers) throws IOException {
+    HollowMember(Config config, Operator operator, EndpointUpdate workers) throws IOException {
         host = new HollowHost(config);
         parts = new Parts(config, operator, host);
         RouteSink sink = parts.routes(new RouteSink() {
             @Override
-            public void news(RouteNews news) {}
+            public void news(EndpointUpdate news) {}
 
             @Override
             public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {}
--- a/src/main/java/maplespread/partition/client/Fleet.java
+++ b/src/main/java/maplespread/partition/client/Fleet.java
@@ -10,8 +10,8 @@
 import java.util.function.Predicate;
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.partition.Partition;
 import maplespread.partition.Partition.Worker;
 import maplespread.routes.RouteSink;
@@ -93,10 +93,10 @@
     }
 
     @Override
-    public void news(RouteNews news) {
+    public void news(EndpointUpdate news) {
         // Before the module: what it may pick is known here.
         synchronized (this) {
-            if (news.kind() != RouteNews.Kind.CHANGES) {
+            if (news.kind() != EndpointUpdate.Kind.CHANGES) {
                 routes.clear();
             }
             for (Route r : news.routes()) {
--- a/src/main/java/maplespread/parts/StarvationPart.java
+++ b/src/main/java/maplespread/parts/StarvationPart.java
@@ -10,8 +10,8 @@
 import maplespread.console.Calls.Call;
 import maplespread.console.Calls.Reply;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Ends;
-import maplespread.facade.RouteNews;
 import maplespread.log.Event;
 import maplespread.membership.Update;
 import maplespread.routes.RouteSink;
@@ -55,7 +55,7 @@
     public RouteSink routes(RouteSink next) {
         return new RouteSink() {
             @Override
-            public void news(RouteNews news) {
+            public void news(EndpointUpdate news) {
                 watch.news(news);
                 next.news(news);
             }
--- a/src/main/java/maplespread/registry/RegistrySink.java
+++ b/src/main/java/maplespread/registry/RegistrySink.java
@@ -1,11 +1,11 @@
 package maplespread.registry;
 
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 
 /** Where a core's words go. Called while the core handles what it heard; must not call back into it. */
 public interface RegistrySink {
     /** Whole once, when all parts have first been read; changes after that. */
-    void news(RouteNews news);
+    void news(EndpointUpdate news);
 
     /** Something that operators may want to know; {@code pairs}: a key and its value, in turn. */
     void event(boolean warning, String name, Object... pairs);
--- a/src/main/java/maplespread/registry/View.java
+++ b/src/main/java/maplespread/registry/View.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 
 /**
  * What the registry says of the workers, by key and by worker, and what the dispatcher has been told of it. A
@@ -366,9 +366,9 @@
             }
         }
         if (!told || !changes.isEmpty()) {
-            RouteNews.Kind kind = told ? RouteNews.Kind.CHANGES : RouteNews.Kind.WHOLE;
+            EndpointUpdate.Kind kind = told ? EndpointUpdate.Kind.CHANGES : EndpointUpdate.Kind.WHOLE;
             told = true;
-            sink.news(new RouteNews(kind, generation, changes));
+            sink.news(new EndpointUpdate(kind, generation, changes));
         }
         return new Difference(added, gone, drained, restarted, other);
     }
--- a/src/main/java/maplespread/registry/client/RegistrySource.java
+++ b/src/main/java/maplespread/registry/client/RegistrySource.java
@@ -5,8 +5,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.log.Event;
 import maplespread.registry.ClaimReader;
 import maplespread.registry.RegistryCore;
@@ -31,7 +31,7 @@
         this.settings = settings;
         RegistrySink sink = new RegistrySink() {
             @Override
-            public void news(RouteNews news) {
+            public void news(EndpointUpdate news) {
                 to.news(news);
             }
 
--- a/src/main/java/maplespread/release/client/Sight.java
+++ b/src/main/java/maplespread/release/client/Sight.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.group.Status;
 import maplespread.group.Statuses;
 import maplespread.membership.Update;
@@ -31,9 +31,9 @@
     }
 
     @Override
-    public void news(RouteNews news) {
+    public void news(EndpointUpdate news) {
         synchronized (workers) {
-            if (news.kind() != RouteNews.Kind.CHANGES) {
+            if (news.kind() != EndpointUpdate.Kind.CHANGES) {
                 workers.clear();
             }
             for (Route r : news.routes()) {
--- a/src/main/java/maplespread/routes/Handover.java
+++ b/src/main/java/maplespread/routes/Handover.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.log.Event;
 
 /**
@@ -29,7 +29,7 @@
         RouteSource[] made = new RouteSource[1];
         made[0] = maker.apply(new RouteSink() {
             @Override
-            public void news(RouteNews news) {
+            public void news(EndpointUpdate news) {
                 Handover.this.news(made[0], news);
             }
 
@@ -77,14 +77,14 @@
         now.watch();
     }
 
-    private void news(RouteSource from, RouteNews news) {
+    private void news(RouteSource from, EndpointUpdate news) {
         RouteSource old = null;
         synchronized (this) {
             if (over || from != newest && from != spoken) {
                 return;
             }
             if (from == newest && spoken != newest) {
-                if (news.kind() == RouteNews.Kind.CHANGES) {
+                if (news.kind() == EndpointUpdate.Kind.CHANGES) {
                     return; // not yet all that there is
                 }
                 old = spoken;
--- a/src/main/java/maplespread/routes/Narrowed.java
+++ b/src/main/java/maplespread/routes/Narrowed.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 import java.util.function.IntConsumer;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.subset.Cut;
 
 /**
@@ -35,9 +35,9 @@
     }
 
     @Override
-    public synchronized void news(RouteNews news) {
+    public synchronized void news(EndpointUpdate news) {
         generation = news.generation();
-        boolean whole = news.kind() != RouteNews.Kind.CHANGES;
+        boolean whole = news.kind() != EndpointUpdate.Kind.CHANGES;
         if (whole) {
             listed.clear();
             cut.clear();
@@ -62,11 +62,11 @@
     /** So many dispatchers there are from now on, and so they share the workers. */
     public synchronized void fleet(int dispatchers, Cut.Wish wish) {
         cut.fleet(dispatchers, wish);
-        tell(RouteNews.Kind.CHANGES, Map.of(), false); // nobody has said anything of the list
+        tell(EndpointUpdate.Kind.CHANGES, Map.of(), false); // nobody has said anything of the list
     }
 
-    private void tell(RouteNews.Kind kind, Map<String, Route> changed, boolean current) {
-        boolean whole = kind != RouteNews.Kind.CHANGES;
+    private void tell(EndpointUpdate.Kind kind, Map<String, Route> changed, boolean current) {
+        boolean whole = kind != EndpointUpdate.Kind.CHANGES;
         Set<String> used = cut.workers();
         if (cut.sharers() != told) {
             told = cut.sharers();
@@ -94,7 +94,7 @@
             }
         }
         shown = next;
-        to.news(new RouteNews(kind, generation, on, current));
+        to.news(new EndpointUpdate(kind, generation, on, current));
     }
 
     private static Route gone(Route r) {
--- a/src/main/java/maplespread/routes/RouteReader.java
+++ b/src/main/java/maplespread/routes/RouteReader.java
@@ -8,8 +8,8 @@
 import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 
 /** Reads discovery's objects. */
 public final class RouteReader {
@@ -31,7 +31,7 @@
         this.kinds = kinds;
     }
 
-    public RouteNews read(String text) throws Malformed {
+    public EndpointUpdate read(String text) throws Malformed {
         try {
             return read(JsonParser.parseString(text).getAsJsonObject());
         } catch (RuntimeException e) { // Gson has several for what is malformed
@@ -39,15 +39,15 @@
         }
     }
 
-    public RouteNews read(JsonObject o) throws Malformed {
+    public EndpointUpdate read(JsonObject o) throws Malformed {
         try {
             List<Route> routes = new ArrayList<>();
             for (JsonElement e : o.getAsJsonArray("instances")) {
                 routes.add(route(e.getAsJsonObject()));
             }
             boolean whole = o.has("reset") && o.get("reset").getAsBoolean();
-            return new RouteNews(
-                    whole ? RouteNews.Kind.WHOLE : RouteNews.Kind.CHANGES,
+            return new EndpointUpdate(
+                    whole ? EndpointUpdate.Kind.WHOLE : EndpointUpdate.Kind.CHANGES,
                     o.get("generation").getAsLong(),
                     routes);
         } catch (RuntimeException e) {
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/RouteSet.java
@@ -7,7 +7,7 @@
 import java.util.SplittableRandom;
 import maplespread.decision.Dispatch.ListDoubt;
 import maplespread.decision.Dispatch.ListLoss;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
 import maplespread.http.HttpParser;
@@ -116,7 +116,7 @@
     }
 
     /** Takes a line's news, unless a newer address has spoken since. */
-    private synchronized void news(Source from, RouteNews news) {
+    private synchronized void news(Source from, EndpointUpdate news) {
         if (from.over) {
             return;
         }
@@ -127,7 +127,7 @@
         }
         from.generation = news.generation();
         boolean current = from == newest; // another address may know of changes that this one does not
-        to.news(current ? news : new RouteNews(news.kind(), news.generation(), news.routes(), false));
+        to.news(current ? news : new EndpointUpdate(news.kind(), news.generation(), news.routes(), false));
     }
 
     /** How a watch came to its end. */
@@ -308,7 +308,7 @@
         private void line(ObjectLines objects, String text) throws HttpError {
             spoke = true;
             heardAt = System.nanoTime();
-            RouteNews news;
+            EndpointUpdate news;
             try {
                 String object = objects.add(text);
                 if (object == null) {
--- a/src/main/java/maplespread/routes/RouteSink.java
+++ b/src/main/java/maplespread/routes/RouteSink.java
@@ -1,11 +1,11 @@
 package maplespread.routes;
 
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 
 /** Takes what a source learns. */
 public interface RouteSink {
-    void news(RouteNews news);
+    void news(EndpointUpdate news);
 
     /** A watch that the module had asked for could not be had or broke, last heard so long ago. */
     void watchLost(Dispatch.ListLoss loss, double heardAgoMs);
--- a/src/main/java/maplespread/starvation/client/Watch.java
+++ b/src/main/java/maplespread/starvation/client/Watch.java
@@ -10,9 +10,9 @@
 import maplespread.config.Config;
 import maplespread.config.StarvationSettings;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Ends;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.facade.Transaction;
 import maplespread.log.Event;
 import maplespread.starvation.Exchange;
@@ -120,8 +120,9 @@
     }
 
     /** What is known of the workers: where they stand. */
-    public void news(RouteNews news) {
-        Map<String, Integer> next = news.kind() == RouteNews.Kind.CHANGES ? new HashMap<>(places) : new HashMap<>();
+    public void news(EndpointUpdate news) {
+        Map<String, Integer> next =
+                news.kind() == EndpointUpdate.Kind.CHANGES ? new HashMap<>(places) : new HashMap<>();
         for (Route r : news.routes()) {
             if (r.state() == Route.State.DELETED) {
                 next.remove(r.worker());
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -23,11 +23,11 @@
     private static Dispatcher dispatcher(String... workers) throws Exception {
         Config c = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
         Dispatcher d = new Dispatcher(c.settings(), 7);
-        d.report(new RouteNews(
-                RouteNews.Kind.HELD,
+        d.report(new EndpointUpdate(
+                EndpointUpdate.Kind.HELD,
                 1,
                 Arrays.stream(workers).map(w -> route(w, Route.State.SERVING)).toList()));
-        d.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
         return d;
     }
 
@@ -64,7 +64,7 @@
         Dispatcher d = dispatcher("a", "bb");
         Branch b = (Branch) d.pick(job(d, 0, 4000));
         assertEquals(SendCheck.ALLOWED, d.check(b));
-        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(route(b.worker(), Route.State.DRAINING))));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(route(b.worker(), Route.State.DRAINING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         d.report(b, Outcome.NEVER_SENT, null);
         Branch next = (Branch) d.pick(b.transaction());
@@ -89,7 +89,7 @@
         Branch b = (Branch) d.pick(job(d, 0, 4000));
         d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 3000);
         assertEquals(SendCheck.ALLOWED, d.check(b));
-        d.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
         d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 6000);
         assertEquals(SendCheck.LIST_NOT_CONFIRMED, d.check(b));
         d.report(b, Outcome.NEVER_SENT, null);
@@ -115,9 +115,9 @@
     public void newsOfASourceLeftBehindConfirmsNothing() throws Exception {
         Dispatcher d = dispatcher("a");
         d.reportUnconfirmed(Dispatch.ListDoubt.MOVED, 0);
-        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(), false));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(), false));
         assertEquals(Dispatch.ListState.RENEWING, d.listState());
-        d.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(), true));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(), true));
         assertEquals(Dispatch.ListState.CONFIRMED, d.listState());
     }
 
@@ -126,7 +126,7 @@
     public void aWholeListDropsTheAbsent() throws Exception {
         Dispatcher d = dispatcher("a");
         Branch b = (Branch) d.pick(job(d, 0, 4000));
-        d.report(new RouteNews(RouteNews.Kind.WHOLE, 2, List.of(route("bb", Route.State.SERVING))));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.WHOLE, 2, List.of(route("bb", Route.State.SERVING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         assertEquals(List.of("127.0.0.1:2"), d.addresses());
     }
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -30,9 +30,9 @@
 import maplespread.config.ConfigReader;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Outcome;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.facade.Transaction;
 import maplespread.figures.Figures;
 import maplespread.http.HttpConnection;
@@ -138,7 +138,7 @@
             Figures figures = new Figures();
             dispatcher = new Dispatcher(config.settings(), 1, false);
             dispatcher.report(config.known());
-            dispatcher.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
+            dispatcher.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
             Links links = new Links(() -> config, config::sizes, dialer);
             branches = new Branches(() -> config, links, dispatcher, figures);
             Starts counted = new Starts(work -> transactions.accept(() -> {
@@ -174,7 +174,7 @@
                     ? new Route(
                             "s-" + worker.socket.getLocalPort(), worker.address(), Route.State.DRAINING, 1, 0, 1, 0, 0)
                     : null;
-            dispatcher.report(new RouteNews(RouteNews.Kind.CHANGES, 2, List.of(r)));
+            dispatcher.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(r)));
         }
 
         @Override
--- a/src/test/java/maplespread/net/ListClockTest.java
+++ b/src/test/java/maplespread/net/ListClockTest.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.net.Loopback.Call;
 import maplespread.net.Loopback.Peer;
 import maplespread.routes.ListClock;
@@ -28,7 +28,7 @@
 /** One clock for discovery's list: silence is a break, and what the agent holds counts at once. */
 class ListClockTest {
     private static final Loopback.Script MUTE = call -> {};
-    private final List<RouteNews> news = new CopyOnWriteArrayList<>();
+    private final List<EndpointUpdate> news = new CopyOnWriteArrayList<>();
     private final AtomicInteger lost = new AtomicInteger();
     private final List<Dispatch.ListLoss> losses = new CopyOnWriteArrayList<>();
     private final List<Dispatch.ListDoubt> doubts = new CopyOnWriteArrayList<>();
@@ -43,7 +43,7 @@
                 7,
                 new RouteSink() {
                     @Override
-                    public void news(RouteNews told) {
+                    public void news(EndpointUpdate told) {
                         news.add(told);
                     }
 
@@ -118,7 +118,7 @@
                 call.line(indented(list(2, true, "SERVING")));
             };
             until("the list", () -> !news.isEmpty());
-            assertEquals(RouteNews.Kind.WHOLE, news.get(0).kind());
+            assertEquals(EndpointUpdate.Kind.WHOLE, news.get(0).kind());
         }
     }
 
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -26,7 +26,7 @@
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
 import maplespread.facade.Dispatcher;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.figures.Figures;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
@@ -158,7 +158,7 @@
         Dispatcher dispatcher = new Dispatcher(config.settings(), 1, false);
         known = () -> {
             dispatcher.report(config.known());
-            dispatcher.report(new RouteNews(RouteNews.Kind.CHANGES, 1, List.of()));
+            dispatcher.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
         };
         Links links = new Links(() -> config, config::sizes);
         Service service = new Service(
--- a/src/test/java/maplespread/registry/RegistryClockTest.java
+++ b/src/test/java/maplespread/registry/RegistryClockTest.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.lab.registry.Store;
 import maplespread.lab.registry.VirtualRegistry;
 import maplespread.registry.RegistrySettings.Dialect;
@@ -49,7 +49,7 @@
                 told.add(mine);
                 RegistrySink sink = new RegistrySink() {
                     @Override
-                    public void news(RouteNews news) {
+                    public void news(EndpointUpdate news) {
                         news.routes().forEach(r -> mine.putIfAbsent(r.worker() + r.state(), now));
                     }
 
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -12,8 +12,8 @@
 import maplespread.config.ConfigReader;
 import maplespread.facade.Branch;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.facade.Transaction;
 import maplespread.facade.Word;
 import maplespread.lab.registry.Store;
@@ -23,14 +23,14 @@
 
 /** The core alone: what single moments need that the random histories would meet only by luck. */
 class RegistryCoreTest {
-    private final List<RouteNews> news = new ArrayList<>();
+    private final List<EndpointUpdate> news = new ArrayList<>();
     private final List<String> events = new ArrayList<>();
     private final Store store = new Store();
     private long now = 1;
 
     private final RegistrySink sink = new RegistrySink() {
         @Override
-        public void news(RouteNews n) {
+        public void news(EndpointUpdate n) {
             news.add(n);
         }
 
@@ -299,7 +299,7 @@
             store.put("/w/new" + i, "SERVING " + start);
         }
         run(List.of(c), 50);
-        d.report(new RouteNews(RouteNews.Kind.HELD, 0, List.of()));
+        d.report(new EndpointUpdate(EndpointUpdate.Kind.HELD, 0, List.of()));
         news.forEach(d::report);
         Map<String, Integer> sent = new HashMap<>();
         long begun = System.nanoTime();
--- a/src/test/java/maplespread/registry/RegistryModelTest.java
+++ b/src/test/java/maplespread/registry/RegistryModelTest.java
@@ -12,8 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.lab.registry.Store;
 import maplespread.lab.registry.VirtualRegistry;
 import maplespread.registry.RegistrySettings.Dialect;
@@ -72,7 +72,7 @@
             registry = new VirtualRegistry(settings, members);
             RegistrySink sink = new RegistrySink() {
                 @Override
-                public void news(RouteNews news) {
+                public void news(EndpointUpdate news) {
                     hear(news);
                 }
 
@@ -125,8 +125,8 @@
             store.change(Map.of("/a/p0", "p0 SERVING 1 " + cell + " 1", "/a/p1", "p1 SERVING 1 " + cell + " 2"), 0);
         }
 
-        void hear(RouteNews news) {
-            boolean whole = news.kind() == RouteNews.Kind.WHOLE;
+        void hear(EndpointUpdate news) {
+            boolean whole = news.kind() == EndpointUpdate.Kind.WHOLE;
             assertEquals(told.isEmpty() && !lost, whole && !lost, "whole once, and first");
             for (Route r : news.routes()) {
                 if (r.state() == Route.State.DELETED) {
--- a/src/test/java/maplespread/release/client/ReleasesTest.java
+++ b/src/test/java/maplespread/release/client/ReleasesTest.java
@@ -17,8 +17,8 @@
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.group.Sections;
 import maplespread.group.Status;
 import maplespread.group.Statuses;
@@ -145,7 +145,7 @@
         statuses.heard("d", new Status(5, 1, "v", "z", Status.Phase.DRAINING, 0, 0.25, 50, 12).bytes(), 1000);
         Sight sight = new Sight(new RouteSink() {
             @Override
-            public void news(RouteNews news) {}
+            public void news(EndpointUpdate news) {}
 
             @Override
             public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {}
@@ -157,7 +157,7 @@
                 new Route("warm", "a", Route.State.SERVING, 2, 0, 3, 0, 0),
                 new Route("cold", "b", Route.State.SERVING, 2, -1, 3, -1, 100_000),
                 new Route("leaves", "c", Route.State.DRAINING, 2, 0, 3, 0, 0));
-        sight.news(new RouteNews(RouteNews.Kind.WHOLE, 1, routes));
+        sight.news(new EndpointUpdate(EndpointUpdate.Kind.WHOLE, 1, routes));
         Object[][] table = {
             {"m", Update.State.ALIVE, 5, 4000, "SERVING"},
             {"m", Update.State.ALIVE, 5, 4001, "UNKNOWN"},
--- a/src/test/java/maplespread/routes/NarrowedTest.java
+++ b/src/test/java/maplespread/routes/NarrowedTest.java
@@ -11,23 +11,23 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
+import maplespread.facade.EndpointUpdate.Kind;
 import maplespread.facade.Route;
 import maplespread.facade.Route.State;
-import maplespread.facade.RouteNews;
-import maplespread.facade.RouteNews.Kind;
 import maplespread.subset.Cut;
 import org.junit.jupiter.api.Test;
 
 /** The subset stage against a view that is kept as the facade keeps its own. */
 class NarrowedTest {
     private final Map<String, Route> view = new HashMap<>();
-    private RouteNews last;
+    private EndpointUpdate last;
     private int sharers;
     private int lost;
     private final Narrowed stage =
             new Narrowed(new Cut(3, 10, new Cut.Wish(2, 4), 0), n -> sharers = n, new RouteSink() {
                 @Override
-                public void news(RouteNews news) {
+                public void news(EndpointUpdate news) {
                     last = news;
                     if (news.kind() != Kind.CHANGES) {
                         view.clear();
@@ -61,7 +61,7 @@
             long seed = n;
             SplittableRandom random = new SplittableRandom(seed);
             Map<String, Route> list = new HashMap<>();
-            stage.news(new RouteNews(Kind.WHOLE, 1, List.of()));
+            stage.news(new EndpointUpdate(Kind.WHOLE, 1, List.of()));
             for (int step = 0; step < 200; step++) {
                 Set<String> inUse = new HashSet<>(view.keySet());
                 boolean whole = random.nextInt(20) == 0;
@@ -85,7 +85,7 @@
                         list.put(r.worker(), r);
                     }
                 }
-                stage.news(new RouteNews(whole ? Kind.WHOLE : Kind.CHANGES, step, said));
+                stage.news(new EndpointUpdate(whole ? Kind.WHOLE : Kind.CHANGES, step, said));
                 assertEquals(step, last.generation());
                 assertEquals(list.size(), stage.listed());
                 view.forEach((w, r) -> assertEquals(list.get(w), r, "seed " + seed));
@@ -111,11 +111,11 @@
         for (int w = 0; w < 60; w++) {
             all.add(route(w, State.SERVING, 0));
         }
-        stage.news(new RouteNews(Kind.HELD, 7, all));
+        stage.news(new EndpointUpdate(Kind.HELD, 7, all));
         assertTrue(sharers >= 2 && sharers < 10, "shared by " + sharers);
         int used = view.size();
         Route one = view.values().iterator().next();
-        stage.news(new RouteNews(
+        stage.news(new EndpointUpdate(
                 Kind.CHANGES,
                 8,
                 List.of(new Route(one.worker(), one.address(), State.DRAINING, 1, 0, 0, one.zone(), 0))));
