--- a/src/main/java/maplespread/parts/Sources.java
+++ b/src/main/java/maplespread/parts/Sources.java
@@ -3,9 +3,9 @@
 import maplespread.config.Config;
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.client.RegistrySource;
+import maplespread.routes.DiscoveryClient;
 import maplespread.routes.Handover;
 import maplespread.routes.RouteReader;
-import maplespread.routes.RouteSet;
 
 /** Where the workers are learned from. */
 public final class Sources {
@@ -16,7 +16,7 @@
         RouteReader reader =
                 new RouteReader(config.names().zones(), config.names().kinds());
         if (registry == null) {
-            return sink -> new RouteSet(
+            return sink -> new DiscoveryClient(
                     config.discovery(),
                     reader,
                     config.known().generation(),
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/DiscoveryClient.java
@@ -25,7 +25,7 @@
  * and again while it is out. A new address is watched at once: until it has spoken, the last list holds and
  * the old watch is still obeyed.
  */
-public final class RouteSet implements RouteSource {
+public final class DiscoveryClient implements RouteSource {
     private static final int LONGEST_LINE = 1 << 20;
     private static final long STACK = 144 * 1024;
     private static final long DIAL_MS = 2500;
@@ -40,7 +40,7 @@
     private Source spoken; // the last one that has said anything
 
     /** {@code generation}: of the list held; {@code pushed}: it comes from an agent that pushes it. */
-    public RouteSet(
+    public DiscoveryClient(
             InetSocketAddress address,
             RouteReader reader,
             long generation,
@@ -160,7 +160,7 @@
 
         void watch() {
             wanted |= !following;
-            RouteSet.this.notifyAll();
+            DiscoveryClient.this.notifyAll();
         }
 
         void close() {
@@ -168,7 +168,7 @@
             if (current != null) {
                 current.close();
             }
-            RouteSet.this.notifyAll();
+            DiscoveryClient.this.notifyAll();
         }
 
         @Override
@@ -181,7 +181,7 @@
                         to.watchLost(end.loss, sinceMs(heardAt));
                         if (pushed) {
                             Thread.sleep(AGENT_AGAIN_MS);
-                            RouteSet.this.watchAgain(this);
+                            DiscoveryClient.this.watchAgain(this);
                         }
                     }
                 }
@@ -250,9 +250,9 @@
         }
 
         private boolean awaitWanted() throws InterruptedException {
-            synchronized (RouteSet.this) {
+            synchronized (DiscoveryClient.this) {
                 while (!wanted && !over) {
-                    RouteSet.this.wait();
+                    DiscoveryClient.this.wait();
                 }
                 wanted = false;
                 following = true;
@@ -263,7 +263,7 @@
 
         /** Before the report, which may make the module ask anew at once. False: nobody is to be told. */
         private boolean ended() {
-            synchronized (RouteSet.this) {
+            synchronized (DiscoveryClient.this) {
                 following = false;
                 over |= this != newest; // an address left behind is not asked again
                 return !over;
@@ -279,7 +279,7 @@
             try (HttpConnection link = HttpConnection.dial(address, Math.min(firstMs, DIAL_MS))) {
                 connectedMs = sinceMs(calledAt);
                 long since;
-                synchronized (RouteSet.this) {
+                synchronized (DiscoveryClient.this) {
                     current = link;
                     since = generation;
                     if (over) {
--- a/src/test/java/maplespread/net/ListClockTest.java
+++ b/src/test/java/maplespread/net/ListClockTest.java
@@ -19,9 +19,9 @@
 import maplespread.facade.EndpointUpdate;
 import maplespread.net.Loopback.Call;
 import maplespread.net.Loopback.Peer;
+import maplespread.routes.DiscoveryClient;
 import maplespread.routes.ListClock;
 import maplespread.routes.RouteReader;
-import maplespread.routes.RouteSet;
 import maplespread.routes.RouteSink;
 import org.junit.jupiter.api.Test;
 
@@ -33,8 +33,8 @@
     private final List<Dispatch.ListLoss> losses = new CopyOnWriteArrayList<>();
     private final List<Dispatch.ListDoubt> doubts = new CopyOnWriteArrayList<>();
 
-    private RouteSet routes(Peer discovery, boolean pushed) {
-        return new RouteSet(
+    private DiscoveryClient routes(Peer discovery, boolean pushed) {
+        return new DiscoveryClient(
                 new InetSocketAddress("127.0.0.1", discovery.socket.getLocalPort()),
                 new RouteReader(List.of("a"), List.of("m")),
                 1,
@@ -89,7 +89,7 @@
                         call.line('\n' + indented(list(5, false, "DRAINING"))); // after a sign of life
                     }
                 });
-                RouteSet routes = routes(discovery, false)) {
+                DiscoveryClient routes = routes(discovery, false)) {
             routes.start();
             routes.watch();
             for (int since : new int[] {1, 1, 4, 5}) {
@@ -107,7 +107,7 @@
     @Test
     void aPushedListIsWatchedFromTheStartAndAfterAnOutage() throws Exception {
         try (Peer discovery = new Peer(MUTE);
-                RouteSet routes = routes(discovery, true)) {
+                DiscoveryClient routes = routes(discovery, true)) {
             discovery.script = call -> call.link.close();
             routes.start();
             for (int i = 0; i < 3; i++) {
@@ -176,7 +176,7 @@
         for (Map.Entry<Loopback.Script, Dispatch.ListLoss> end : ends.entrySet()) {
             losses.clear();
             try (Peer discovery = new Peer(end.getKey());
-                    RouteSet routes = routes(discovery, false)) {
+                    DiscoveryClient routes = routes(discovery, false)) {
                 routes.start();
                 routes.watch();
                 until("the end", () -> !losses.isEmpty());
@@ -186,7 +186,7 @@
         losses.clear();
         Peer gone = new Peer(MUTE);
         gone.close();
-        try (RouteSet routes = routes(gone, false)) {
+        try (DiscoveryClient routes = routes(gone, false)) {
             routes.start();
             routes.watch();
             until("the refusal", () -> !losses.isEmpty());
@@ -207,7 +207,7 @@
                     speaks.answer(call);
                 });
                 Peer second = new Peer(MUTE);
-                RouteSet routes = routes(first, false)) {
+                DiscoveryClient routes = routes(first, false)) {
             routes.start();
             routes.watch();
             until("the silence is told", () -> doubts.contains(Dispatch.ListDoubt.SILENT));
