--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -36,7 +36,7 @@
 import maplespread.parts.Parts;
 import maplespread.parts.Sources;
 import maplespread.registry.RegistrySettings;
-import maplespread.routes.Handover;
+import maplespread.routes.DiscoverySwitch;
 import maplespread.routes.RouteSink;
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
@@ -76,7 +76,7 @@
     private final Links links;
     private final Branches branches;
     private final Prober prober;
-    private final Handover routes;
+    private final DiscoverySwitch routes;
     private final RouteSink sink;
     private final Parts parts;
     private volatile Consumer<EndpointUpdate> tap = news -> {};
@@ -132,7 +132,7 @@
         };
         parts = new Parts(config, operator, new Own());
         sink = parts.routes(all);
-        routes = new Handover(Sources.of(config, registry), sink);
+        routes = new DiscoverySwitch(Sources.of(config, registry), sink);
         threads = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
     }
 
--- a/src/main/java/maplespread/parts/Sources.java
+++ b/src/main/java/maplespread/parts/Sources.java
@@ -4,7 +4,7 @@
 import maplespread.registry.RegistrySettings;
 import maplespread.registry.client.RegistrySource;
 import maplespread.routes.DiscoveryClient;
-import maplespread.routes.Handover;
+import maplespread.routes.DiscoverySwitch;
 import maplespread.routes.RouteReader;
 
 /** Where the workers are learned from. */
@@ -12,7 +12,7 @@
     private Sources() {}
 
     /** {@code registry}: null where discovery has the word. */
-    public static Handover.Maker of(Config config, RegistrySettings registry) {
+    public static DiscoverySwitch.Maker of(Config config, RegistrySettings registry) {
         RouteReader reader =
                 new RouteReader(config.names().zones(), config.names().kinds());
         if (registry == null) {
--- a/src/main/java/maplespread/routes/Handover.java
+++ b/src/main/java/maplespread/routes/DiscoverySwitch.java
@@ -10,7 +10,7 @@
  * One source at a time has the word, and another takes over when it has read the whole list: until then the
  * old one is still obeyed, so that no drain is missed and no moment is without a list.
  */
-public final class Handover implements RouteSource {
+public final class DiscoverySwitch implements RouteSource {
     /** Makes a source that reports to the sink; it is started here. */
     public interface Maker extends Function<RouteSink, RouteSource> {}
 
@@ -19,7 +19,7 @@
     private RouteSource spoken;
     private boolean over;
 
-    public Handover(Maker first, RouteSink to) {
+    public DiscoverySwitch(Maker first, RouteSink to) {
         this.to = to;
         newest = make(first);
         spoken = newest;
@@ -30,12 +30,12 @@
         made[0] = maker.apply(new RouteSink() {
             @Override
             public void news(EndpointUpdate news) {
-                Handover.this.news(made[0], news);
+                DiscoverySwitch.this.news(made[0], news);
             }
 
             @Override
             public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
-                synchronized (Handover.this) {
+                synchronized (DiscoverySwitch.this) {
                     if (speaks(made[0])) {
                         to.watchLost(loss, heardAgoMs);
                     }
@@ -44,7 +44,7 @@
 
             @Override
             public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
-                synchronized (Handover.this) {
+                synchronized (DiscoverySwitch.this) {
                     if (speaks(made[0])) {
                         to.unconfirmed(why, heardAgoMs);
                     }
