--- a/src/main/java/maplespread/parts/SubsetPart.java
+++ b/src/main/java/maplespread/parts/SubsetPart.java
@@ -5,8 +5,8 @@
 import maplespread.config.Operator;
 import maplespread.decision.Dispatch;
 import maplespread.figures.Figures;
-import maplespread.routes.Narrowed;
 import maplespread.routes.RouteSink;
+import maplespread.routes.SubsetFilter;
 import maplespread.subset.Cut;
 import org.tinylog.Logger;
 
@@ -14,7 +14,7 @@
 final class SubsetPart implements Part {
     private final Cut cut;
     private final IntConsumer among;
-    private Narrowed narrowed;
+    private SubsetFilter narrowed;
     private volatile int sharers; // of a worker; 0: as the settings say
 
     SubsetPart(Dispatch.Settings settings, Cut.Wish wish, Host host) {
@@ -31,7 +31,7 @@
 
     @Override
     public RouteSink routes(RouteSink next) {
-        narrowed = new Narrowed(cut, among, next);
+        narrowed = new SubsetFilter(cut, among, next);
         return narrowed;
     }
 
--- a/src/main/java/maplespread/routes/Narrowed.java
+++ b/src/main/java/maplespread/routes/SubsetFilter.java
@@ -18,7 +18,7 @@
  * one takes its place, and the drain of one in use is always handed on. One that falls out of the subset
  * alone is handed on as deleted: it gets nothing new, and what it runs is finished.
  */
-public final class Narrowed implements RouteSink {
+public final class SubsetFilter implements RouteSink {
     private final RouteSink to;
     private final IntConsumer sharers;
     private final Cut cut;
@@ -28,7 +28,7 @@
     private int told;
 
     /** {@code sharers}: hears how many dispatchers share a worker, before the list that this goes with. */
-    public Narrowed(Cut cut, IntConsumer sharers, RouteSink to) {
+    public SubsetFilter(Cut cut, IntConsumer sharers, RouteSink to) {
         this.cut = cut;
         this.sharers = sharers;
         this.to = to;
--- a/src/test/java/maplespread/routes/NarrowedTest.java
+++ b/src/test/java/maplespread/routes/SubsetFilterTest.java
@@ -19,13 +19,13 @@
 import org.junit.jupiter.api.Test;
 
 /** The subset stage against a view that is kept as the facade keeps its own. */
-class NarrowedTest {
+class SubsetFilterTest {
     private final Map<String, Route> view = new HashMap<>();
     private EndpointUpdate last;
     private int sharers;
     private int lost;
-    private final Narrowed stage =
-            new Narrowed(new Cut(3, 10, new Cut.Wish(2, 4), 0), n -> sharers = n, new RouteSink() {
+    private final SubsetFilter stage =
+            new SubsetFilter(new Cut(3, 10, new Cut.Wish(2, 4), 0), n -> sharers = n, new RouteSink() {
                 @Override
                 public void news(EndpointUpdate news) {
                     last = news;
