--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -27,7 +27,7 @@
 import maplespread.console.Calls;
 import maplespread.console.Console;
 import maplespread.decision.Dispatch;
-import maplespread.facade.Chore;
+import maplespread.facade.Action;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Outcome;
@@ -421,10 +421,10 @@
     private void tick() {
         while (true) {
             try {
-                for (Chore chore : dispatcher.tick(lifecycle.quiesced() ? QUIET_MS : SWEEP_MS)) {
-                    if (chore instanceof Chore.Probe probe) {
+                for (Action chore : dispatcher.tick(lifecycle.quiesced() ? QUIET_MS : SWEEP_MS)) {
+                    if (chore instanceof Action.Probe probe) {
                         probe(probe);
-                    } else if (chore instanceof Chore.Cancel cancel) {
+                    } else if (chore instanceof Action.Cancel cancel) {
                         branches.cancel(cancel.branch());
                     } else {
                         routes.watch();
@@ -469,7 +469,7 @@
         }
     }
 
-    private void probe(Chore.Probe probe) {
+    private void probe(Action.Probe probe) {
         try {
             probes.execute(() -> prober.probe(probe));
         } catch (RejectedExecutionException | OutOfMemoryError e) { // a probe without an end stays out
--- a/src/main/java/maplespread/facade/Chore.java
+++ b/src/main/java/maplespread/facade/Action.java
@@ -1,13 +1,13 @@
 package maplespread.facade;
 
 /** What the module wants done that answers no transaction: the results of {@link Dispatcher#tick}. */
-public sealed interface Chore {
+public sealed interface Action {
     /** Ask the worker for its load. */
-    record Probe(String worker, String address) implements Chore {}
+    record Probe(String worker, String address) implements Action {}
 
     /** Subscribe to the route set. */
-    record Watch() implements Chore {}
+    record Watch() implements Action {}
 
     /** Give the branch up. */
-    record Cancel(Branch branch) implements Chore {}
+    record Cancel(Branch branch) implements Action {}
 }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -39,7 +39,7 @@
     private final Map<Long, Transaction> open = new HashMap<>(); // until ended and no branch is out
     private final Map<String, Route> routes = new HashMap<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
-    private final ArrayDeque<Chore> chores = new ArrayDeque<>();
+    private final ArrayDeque<Action> chores = new ArrayDeque<>();
     private final long startUs = System.currentTimeMillis() * 1000;
     private final long startNanos = System.nanoTime();
     private long lastId;
@@ -156,7 +156,7 @@
     }
 
     /** A probe ended after {@code tookMs}. */
-    public void report(Chore.Probe probe, Outcome outcome, double tookMs, Load load) {
+    public void report(Action.Probe probe, Outcome outcome, double tookMs, Load load) {
         locked(() ->
                 guarded("probed", () -> logic.probed(nowUs(), probe.worker(), verdict(outcome), tookMs, load(load))));
     }
@@ -245,7 +245,7 @@
     }
 
     /** Runs the timers that are due and returns the chores, waiting at most so long for either. */
-    public List<Chore> tick(long waitMs) throws InterruptedException {
+    public List<Action> tick(long waitMs) throws InterruptedException {
         lock.lockInterruptibly();
         try {
             long end = nowUs() + waitMs * 1000;
@@ -262,7 +262,7 @@
                 long until =
                         timers.isEmpty() ? end : Math.min(end, timers.peek().atUs());
                 if (!chores.isEmpty() || now >= end) {
-                    List<Chore> all = List.copyOf(chores);
+                    List<Action> all = List.copyOf(chores);
                     chores.clear();
                     return all;
                 }
@@ -465,19 +465,19 @@
         public void cancel(long id, int attempt) {
             Transaction t = open.get(id);
             if (t != null && attempt < t.branches.size()) {
-                chore(new Chore.Cancel(t.branches.get(attempt)));
+                chore(new Action.Cancel(t.branches.get(attempt)));
             }
         }
 
         @Override
         public void probe(String worker) {
             Route r = routes.get(worker);
-            chore(new Chore.Probe(worker, r == null ? "" : r.address()));
+            chore(new Action.Probe(worker, r == null ? "" : r.address()));
         }
 
         @Override
         public void watch() {
-            chore(new Chore.Watch());
+            chore(new Action.Watch());
         }
 
         @Override
@@ -507,7 +507,7 @@
             Logger.info("module: {}", line);
         }
 
-        private void chore(Chore chore) {
+        private void chore(Action chore) {
             chores.add(chore);
             pending.signal();
         }
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Supplier;
 import maplespread.config.Config;
-import maplespread.facade.Chore;
+import maplespread.facade.Action;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Load;
 import maplespread.facade.Outcome;
@@ -26,7 +26,7 @@
         this.dispatcher = dispatcher;
     }
 
-    public void probe(Chore.Probe probe) {
+    public void probe(Action.Probe probe) {
         long start = System.nanoTime();
         Load load = null;
         Outcome outcome;
