Calls for the list come in turn after failures too: no crowd of dead calls

Cause: a call that waited in vain was followed 0.8 to 2.4 s later, drawn at random. From 100 processes that is 23 to 28 calls a second, more than 14 to 18 whole lists are answered; cut calls are worked on all the same.

Change: where a fleet's lists take over 3 s, the first call after an ended watch has its turn within 3 s and a call that waited in vain is followed in this node's place in a round of 5.5 s. Small fleets are as before.

--- a/src/main/java/maplespread/decision/Logic.java
+++ b/src/main/java/maplespread/decision/Logic.java
@@ -24,6 +24,7 @@
 public final class Logic implements Dispatch.Events {
     private static final long TICK = 1;
     private static final double TOLD = 6000;             // then a change counts as told, whatever failed
+    private static final double ROUND = 5500;            // of a large fleet's calls: within TOLD each comes again
     private static final double LINE_COST = 0.7;         // of discovery for a line of a whole list, with a margin
     private Settings set;
     private Rules rules;
@@ -86,7 +87,7 @@
         if (kind == ListKind.HELD) {
             // A whole large fleet may start at once, and discovery answers one call after another: each has its turn.
             double last = Math.min(TOLD * 2 / 3, LINE_COST * set.balancers() * entries.size()) - TOLD / 30;
-            watchAt = now + Math.max(0, last) * (set.index() % set.balancers()) / set.balancers();
+            watchAt = now + turn(Math.max(0, last));
             double first = period * (0.5 + random.nextDouble() / 2);        // nodes must not tick in step
             tickAt = now + first;
             actions.timer(first, TICK);
@@ -121,6 +122,10 @@
         double most = Math.min(rules.askWithinMs() / 4, TOLD / 5), took = watchAt < 1e300 ? now - askedAt : 0;
         double wait = Math.min(most, horizon / 20 * (1L << Math.min(++watchFails, 6)));
         watchAt = now + Math.max(wait, Math.min(took, TOLD / 3)) * (0.4 + 0.8 * random.nextDouble());
+        double all = LINE_COST * set.balancers() * workers.size();
+        if (all > TOLD / 2) {                                    // a large fleet's calls would be a crowd by themselves
+            watchAt = took > TOLD / 6 ? slotAfter(now + period, Math.min(ROUND, all)) : now + period + turn(TOLD / 2);
+        }
     }
 
     @Override public void request(long nowUs, Request r) {
@@ -1061,6 +1066,19 @@
         placeParked();
     }
 
+    /**
+     * This node's next place in the fleet's round of calls, by the clock that all machines read. Calls drawn at random
+     * come faster than discovery answers whole lists: it then works for callers that have given up, and for ever so.
+     */
+    private double slotAfter(double from, double round) {
+        return from + Math.floorMod(Math.round(turn(round) - from), Math.round(round));
+    }
+
+    /** When it is this node's turn, where all share a time. */
+    private double turn(double time) {
+        return time * (set.index() % set.balancers()) / set.balancers();
+    }
+
     private void askInTurn() {
         if (now >= watchAt && set.ask()) {
             actions.watch();
