--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -27,16 +27,16 @@
 import maplespread.console.Calls;
 import maplespread.console.Console;
 import maplespread.decision.Dispatch;
-import maplespread.facade.Chore;
+import maplespread.facade.Action;
 import maplespread.facade.Dispatcher;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Outcome;
-import maplespread.facade.RouteNews;
 import maplespread.figures.Figures;
 import maplespread.parts.Host;
 import maplespread.parts.Parts;
 import maplespread.parts.Sources;
 import maplespread.registry.RegistrySettings;
-import maplespread.routes.Handover;
+import maplespread.routes.DiscoverySwitch;
 import maplespread.routes.RouteSink;
 import maplespread.worker.Branches;
 import maplespread.worker.Links;
@@ -76,10 +76,10 @@
     private final Links links;
     private final Branches branches;
     private final Prober prober;
-    private final Handover routes;
+    private final DiscoverySwitch routes;
     private final RouteSink sink;
     private final Parts parts;
-    private volatile Consumer<RouteNews> tap = news -> {};
+    private volatile Consumer<EndpointUpdate> tap = news -> {};
     private RegistrySettings registry; // null: discovery has the word
     private final List<Thread> threads;
     private final ExecutorService probes;
@@ -112,9 +112,9 @@
         registry = operator.registry();
         RouteSink all = new RouteSink() {
             @Override
-            public void news(RouteNews news) {
+            public void news(EndpointUpdate news) {
                 dispatcher.report(news);
-                if (news.kind() != RouteNews.Kind.HELD) { // that one is of before the start
+                if (news.kind() != EndpointUpdate.Kind.HELD) { // that one is of before the start
                     told.countDown();
                 }
                 tap.accept(news);
@@ -132,7 +132,7 @@
         };
         parts = new Parts(config, operator, new Own());
         sink = parts.routes(all);
-        routes = new Handover(Sources.of(config, registry), sink);
+        routes = new DiscoverySwitch(Sources.of(config, registry), sink);
         threads = List.of(thread("ticker", this::tick), thread("reloader", this::reloads));
     }
 
@@ -327,7 +327,7 @@
     }
 
     /** Has the tools hear what the dispatcher has just learned of the route set. */
-    public void onRoutes(Consumer<RouteNews> listener) {
+    public void onRoutes(Consumer<EndpointUpdate> listener) {
         tap = listener;
     }
 
@@ -421,10 +421,10 @@
     private void tick() {
         while (true) {
             try {
-                for (Chore chore : dispatcher.tick(lifecycle.quiesced() ? QUIET_MS : SWEEP_MS)) {
-                    if (chore instanceof Chore.Probe probe) {
+                for (Action chore : dispatcher.tick(lifecycle.quiesced() ? QUIET_MS : SWEEP_MS)) {
+                    if (chore instanceof Action.Probe probe) {
                         probe(probe);
-                    } else if (chore instanceof Chore.Cancel cancel) {
+                    } else if (chore instanceof Action.Cancel cancel) {
                         branches.cancel(cancel.branch());
                     } else {
                         routes.watch();
@@ -469,7 +469,7 @@
         }
     }
 
-    private void probe(Chore.Probe probe) {
+    private void probe(Action.Probe probe) {
         try {
             probes.execute(() -> prober.probe(probe));
         } catch (RejectedExecutionException | OutOfMemoryError e) { // a probe without an end stays out
--- a/src/main/java/maplespread/routes/RouteSet.java
+++ b/src/main/java/maplespread/routes/DiscoveryClient.java
@@ -7,13 +7,13 @@
 import java.util.SplittableRandom;
 import maplespread.decision.Dispatch.ListDoubt;
 import maplespread.decision.Dispatch.ListLoss;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
 import maplespread.http.Lines;
-import maplespread.http.Seldom;
+import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
 import org.tinylog.Logger;
 
@@ -25,7 +25,7 @@
  * and again while it is out. A new address is watched at once: until it has spoken, the last list holds and
  * the old watch is still obeyed.
  */
-public final class RouteSet implements RouteSource {
+public final class DiscoveryClient implements RouteSource {
     private static final int LONGEST_LINE = 1 << 20;
     private static final long STACK = 144 * 1024;
     private static final long DIAL_MS = 2500;
@@ -33,14 +33,14 @@
     private final ListClock clock;
     private final boolean pushed;
     private final SplittableRandom random;
-    private final Seldom seldom = new Seldom();
+    private final RateLimitedLogger seldom = new RateLimitedLogger();
     private final RouteSink to;
     private final RouteReader reader;
     private Source newest; // the address that is asked
     private Source spoken; // the last one that has said anything
 
     /** {@code generation}: of the list held; {@code pushed}: it comes from an agent that pushes it. */
-    public RouteSet(
+    public DiscoveryClient(
             InetSocketAddress address,
             RouteReader reader,
             long generation,
@@ -116,7 +116,7 @@
     }
 
     /** Takes a line's news, unless a newer address has spoken since. */
-    private synchronized void news(Source from, RouteNews news) {
+    private synchronized void news(Source from, EndpointUpdate news) {
         if (from.over) {
             return;
         }
@@ -127,7 +127,7 @@
         }
         from.generation = news.generation();
         boolean current = from == newest; // another address may know of changes that this one does not
-        to.news(current ? news : new RouteNews(news.kind(), news.generation(), news.routes(), false));
+        to.news(current ? news : new EndpointUpdate(news.kind(), news.generation(), news.routes(), false));
     }
 
     /** How a watch came to its end. */
@@ -160,7 +160,7 @@
 
         void watch() {
             wanted |= !following;
-            RouteSet.this.notifyAll();
+            DiscoveryClient.this.notifyAll();
         }
 
         void close() {
@@ -168,7 +168,7 @@
             if (current != null) {
                 current.close();
             }
-            RouteSet.this.notifyAll();
+            DiscoveryClient.this.notifyAll();
         }
 
         @Override
@@ -181,7 +181,7 @@
                         to.watchLost(end.loss, sinceMs(heardAt));
                         if (pushed) {
                             Thread.sleep(AGENT_AGAIN_MS);
-                            RouteSet.this.watchAgain(this);
+                            DiscoveryClient.this.watchAgain(this);
                         }
                     }
                 }
@@ -250,9 +250,9 @@
         }
 
         private boolean awaitWanted() throws InterruptedException {
-            synchronized (RouteSet.this) {
+            synchronized (DiscoveryClient.this) {
                 while (!wanted && !over) {
-                    RouteSet.this.wait();
+                    DiscoveryClient.this.wait();
                 }
                 wanted = false;
                 following = true;
@@ -263,7 +263,7 @@
 
         /** Before the report, which may make the module ask anew at once. False: nobody is to be told. */
         private boolean ended() {
-            synchronized (RouteSet.this) {
+            synchronized (DiscoveryClient.this) {
                 following = false;
                 over |= this != newest; // an address left behind is not asked again
                 return !over;
@@ -279,7 +279,7 @@
             try (HttpConnection link = HttpConnection.dial(address, Math.min(firstMs, DIAL_MS))) {
                 connectedMs = sinceMs(calledAt);
                 long since;
-                synchronized (RouteSet.this) {
+                synchronized (DiscoveryClient.this) {
                     current = link;
                     since = generation;
                     if (over) {
@@ -308,7 +308,7 @@
         private void line(ObjectLines objects, String text) throws HttpError {
             spoke = true;
             heardAt = System.nanoTime();
-            RouteNews news;
+            EndpointUpdate news;
             try {
                 String object = objects.add(text);
                 if (object == null) {
--- a/src/main/java/maplespread/routes/Handover.java
+++ b/src/main/java/maplespread/routes/DiscoverySwitch.java
@@ -3,14 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 import maplespread.decision.Dispatch;
-import maplespread.facade.RouteNews;
+import maplespread.facade.EndpointUpdate;
 import maplespread.log.Event;
 
 /**
  * One source at a time has the word, and another takes over when it has read the whole list: until then the
  * old one is still obeyed, so that no drain is missed and no moment is without a list.
  */
-public final class Handover implements RouteSource {
+public final class DiscoverySwitch implements RouteSource {
     /** Makes a source that reports to the sink; it is started here. */
     public interface Maker extends Function<RouteSink, RouteSource> {}
 
@@ -19,7 +19,7 @@
     private RouteSource spoken;
     private boolean over;
 
-    public Handover(Maker first, RouteSink to) {
+    public DiscoverySwitch(Maker first, RouteSink to) {
         this.to = to;
         newest = make(first);
         spoken = newest;
@@ -29,13 +29,13 @@
         RouteSource[] made = new RouteSource[1];
         made[0] = maker.apply(new RouteSink() {
             @Override
-            public void news(RouteNews news) {
-                Handover.this.news(made[0], news);
+            public void news(EndpointUpdate news) {
+                DiscoverySwitch.this.news(made[0], news);
             }
 
             @Override
             public void watchLost(Dispatch.ListLoss loss, double heardAgoMs) {
-                synchronized (Handover.this) {
+                synchronized (DiscoverySwitch.this) {
                     if (speaks(made[0])) {
                         to.watchLost(loss, heardAgoMs);
                     }
@@ -44,7 +44,7 @@
 
             @Override
             public void unconfirmed(Dispatch.ListDoubt why, double heardAgoMs) {
-                synchronized (Handover.this) {
+                synchronized (DiscoverySwitch.this) {
                     if (speaks(made[0])) {
                         to.unconfirmed(why, heardAgoMs);
                     }
@@ -77,14 +77,14 @@
         now.watch();
     }
 
-    private void news(RouteSource from, RouteNews news) {
+    private void news(RouteSource from, EndpointUpdate news) {
         RouteSource old = null;
         synchronized (this) {
             if (over || from != newest && from != spoken) {
                 return;
             }
             if (from == newest && spoken != newest) {
-                if (news.kind() == RouteNews.Kind.CHANGES) {
+                if (news.kind() == EndpointUpdate.Kind.CHANGES) {
                     return; // not yet all that there is
                 }
                 old = spoken;
--- a/src/main/java/maplespread/routes/Narrowed.java
+++ b/src/main/java/maplespread/routes/SubsetFilter.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 import java.util.function.IntConsumer;
 import maplespread.decision.Dispatch;
+import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
-import maplespread.facade.RouteNews;
 import maplespread.subset.Cut;
 
 /**
@@ -18,7 +18,7 @@
  * one takes its place, and the drain of one in use is always handed on. One that falls out of the subset
  * alone is handed on as deleted: it gets nothing new, and what it runs is finished.
  */
-public final class Narrowed implements RouteSink {
+public final class SubsetFilter implements RouteSink {
     private final RouteSink to;
     private final IntConsumer sharers;
     private final Cut cut;
@@ -28,16 +28,16 @@
     private int told;
 
     /** {@code sharers}: hears how many dispatchers share a worker, before the list that this goes with. */
-    public Narrowed(Cut cut, IntConsumer sharers, RouteSink to) {
+    public SubsetFilter(Cut cut, IntConsumer sharers, RouteSink to) {
         this.cut = cut;
         this.sharers = sharers;
         this.to = to;
     }
 
     @Override
-    public synchronized void news(RouteNews news) {
+    public synchronized void news(EndpointUpdate news) {
         generation = news.generation();
-        boolean whole = news.kind() != RouteNews.Kind.CHANGES;
+        boolean whole = news.kind() != EndpointUpdate.Kind.CHANGES;
         if (whole) {
             listed.clear();
             cut.clear();
@@ -62,11 +62,11 @@
     /** So many dispatchers there are from now on, and so they share the workers. */
     public synchronized void fleet(int dispatchers, Cut.Wish wish) {
         cut.fleet(dispatchers, wish);
-        tell(RouteNews.Kind.CHANGES, Map.of(), false); // nobody has said anything of the list
+        tell(EndpointUpdate.Kind.CHANGES, Map.of(), false); // nobody has said anything of the list
     }
 
-    private void tell(RouteNews.Kind kind, Map<String, Route> changed, boolean current) {
-        boolean whole = kind != RouteNews.Kind.CHANGES;
+    private void tell(EndpointUpdate.Kind kind, Map<String, Route> changed, boolean current) {
+        boolean whole = kind != EndpointUpdate.Kind.CHANGES;
         Set<String> used = cut.workers();
         if (cut.sharers() != told) {
             told = cut.sharers();
@@ -94,7 +94,7 @@
             }
         }
         shown = next;
-        to.news(new RouteNews(kind, generation, on, current));
+        to.news(new EndpointUpdate(kind, generation, on, current));
     }
 
     private static Route gone(Route r) {
