--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -9,10 +9,10 @@
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
 import maplespread.facade.Branch;
+import maplespread.facade.Decision;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
 import maplespread.facade.Transaction;
-import maplespread.facade.Word;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpError;
 import maplespread.http.HttpHead;
@@ -464,8 +464,8 @@
                     lost(job, answer, go);
                     return;
                 }
-                Word word = dispatcher.pick(job.transaction);
-                if (word instanceof Branch branch) {
+                Decision decision = dispatcher.decide(job.transaction);
+                if (decision instanceof Branch branch) {
                     if (branch(job, branch, answer, go)) {
                         over = true;
                         return;
@@ -474,17 +474,17 @@
                 }
                 over = true;
                 boolean sure = go.over(false) != Turns.End.DOUBT;
-                if (word instanceof Word.BusyAnswer busy) {
+                if (decision instanceof Decision.BusyAnswer busy) {
                     unserved(job, busy.why());
                     answer.busy(busy.pauseMs());
                     return;
                 }
-                if (word instanceof Word.Failed failed) {
+                if (decision instanceof Decision.Failed failed) {
                     unserved(job, failed.why());
                 }
-                if (word instanceof Word.Failed && sure) {
+                if (decision instanceof Decision.Failed && sure) {
                     answer.failed(502, "no worker served it");
-                } else if (word instanceof Word.Failed) {
+                } else if (decision instanceof Decision.Failed) {
                     answer.doubtful("it may have run, or may yet run");
                 }
                 return; // else the client has left
--- a/src/main/java/maplespread/facade/Branch.java
+++ b/src/main/java/maplespread/facade/Branch.java
@@ -2,4 +2,4 @@
 
 /** One attempt: send the transaction to this worker. {@code number} counts from 0. */
 public record Branch(Transaction transaction, int number, String worker, String address, long pickedUs)
-        implements Word {}
+        implements Decision {}
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -72,7 +72,7 @@
      * The module's word on the transaction: at first when it is new, then after each branch that ended
      * unserved. Waits while the module holds it back, but never past its deadline.
      */
-    public Word pick(Transaction t) throws InterruptedException {
+    public Decision decide(Transaction t) throws InterruptedException {
         lock.lockInterruptibly();
         try {
             if (!t.taken && !t.ended) {
@@ -97,20 +97,20 @@
                                                 counts(t),
                                                 t.among)))
                         && t.word == null) {
-                    end(t, new Word.Failed(Dispatch.Refusal.FAULT));
+                    end(t, new Decision.Failed(Dispatch.Refusal.FAULT));
                 }
             }
             while (t.word == null && !t.ended) {
                 long left = t.deadlineUs - nowUs();
                 if (left <= 0) { // guards a request that the module let lie
                     Logger.warn("transaction {} had no word by its deadline", t.id);
-                    end(t, new Word.Failed(Dispatch.Refusal.OUT_OF_TIME));
+                    end(t, new Decision.Failed(Dispatch.Refusal.OUT_OF_TIME));
                     guarded("gone", () -> logic.gone(nowUs(), t.id));
                 } else {
                     t.changed.await(left, TimeUnit.MICROSECONDS);
                 }
             }
-            Word word = t.word == null ? new Word.Failed(Dispatch.Refusal.FAULT) : t.word;
+            Decision word = t.word == null ? new Decision.Failed(Dispatch.Refusal.FAULT) : t.word;
             t.word = null;
             return word;
         } finally {
@@ -124,7 +124,7 @@
                 "progress", () -> logic.progress(nowUs(), b.transaction().id, b.number(), b.worker(), started, share)));
     }
 
-    /** A branch is over. Unless it served, {@link #pick} has the next word. */
+    /** A branch is over. Unless it served, {@link #decide} has the next word. */
     public void report(Branch b, Outcome outcome, Load load) {
         locked(() -> {
             Transaction t = b.transaction();
@@ -149,7 +149,7 @@
                                     ended,
                                     load(load)))
                     && t.word == null) {
-                end(t, new Word.Failed(Dispatch.Refusal.FAULT));
+                end(t, new Decision.Failed(Dispatch.Refusal.FAULT));
             }
             forget(t);
         });
@@ -229,13 +229,13 @@
         locked(() -> {
             if (!t.taken && !t.ended) { // its thread has not come to ask yet
                 t.ended = true;
-                t.word = new Word.Left();
+                t.word = new Decision.Left();
             } else if (!t.ended) {
-                Word unread = t.word;
+                Decision unread = t.word;
                 if (shares != null) {
                     shares.left(t.id);
                 }
-                end(t, new Word.Left());
+                end(t, new Decision.Left());
                 guarded("gone", () -> logic.gone(nowUs(), t.id));
                 if (unread instanceof Branch b) { // picked, and nobody will send it now
                     report(b, Outcome.NEVER_SENT, null);
@@ -390,7 +390,7 @@
         }
     }
 
-    private void end(Transaction t, Word word) {
+    private void end(Transaction t, Decision word) {
         t.ended = true;
         told(t, true);
         t.word = word;
@@ -453,12 +453,12 @@
 
         @Override
         public void refuse(long id, double pauseMs, Dispatch.Refusal why) {
-            end(open.get(id), new Word.BusyAnswer(pauseMs, why));
+            end(open.get(id), new Decision.BusyAnswer(pauseMs, why));
         }
 
         @Override
         public void fail(long id, Dispatch.Refusal why) {
-            end(open.get(id), new Word.Failed(why));
+            end(open.get(id), new Decision.Failed(why));
         }
 
         @Override
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -28,7 +28,7 @@
     boolean ended; // no further branch, whatever comes
     int out; // branches without an outcome
     long mayHaveRunUs; // choice of the first that may; 0: none
-    Word word;
+    Decision word;
     Condition changed;
 
     /**
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -50,7 +50,7 @@
             jobs[i] = new Transaction(
                     0, 0, d.nowUs() + Math.round(waitMs * 1000), 100, 1, 0, null, i == 0 ? told.among(1) : told);
         }
-        d.pick(jobs[0]);
+        d.decide(jobs[0]);
         double least = 1;
         for (Transaction t : jobs) {
             least = Math.min(least, d.counts(t));
@@ -62,12 +62,12 @@
     @Test
     public void aDrainToldAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        Branch b = (Branch) d.decide(job(d, 0, 4000));
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(route(b.worker(), Route.State.DRAINING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         d.report(b, Outcome.NEVER_SENT, null);
-        Branch next = (Branch) d.pick(b.transaction());
+        Branch next = (Branch) d.decide(b.transaction());
         assertEquals("it goes to the other", 1, next.number());
         assertFalse(next.worker().equals(b.worker()));
     }
@@ -76,7 +76,7 @@
     @Test
     public void aClientThatLeftAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.pick(job(d, 1, 4000));
+        Branch b = (Branch) d.decide(job(d, 1, 4000));
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.reportLeft(b.transaction());
         assertEquals(SendCheck.REQUEST_ENDED, d.check(b));
@@ -86,7 +86,7 @@
     @Test
     public void aListThatWentStaleAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        Branch b = (Branch) d.decide(job(d, 0, 4000));
         d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 3000);
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
@@ -103,11 +103,11 @@
             }
         });
         ticker.start();
-        Word word = d.pick(b.transaction());
+        Decision decision = d.decide(b.transaction());
         ticker.interrupt();
         assertTrue(
-                word.toString(),
-                word instanceof Word.BusyAnswer busy && busy.why() == Dispatch.Refusal.LIST_NOT_CONFIRMED);
+                decision.toString(),
+                decision instanceof Decision.BusyAnswer busy && busy.why() == Dispatch.Refusal.LIST_NOT_CONFIRMED);
     }
 
     /** Guards the order of sources: what the address left behind says does not vouch for the one that counts now. */
@@ -125,7 +125,7 @@
     @Test
     public void aWholeListDropsTheAbsent() throws Exception {
         Dispatcher d = dispatcher("a");
-        Branch b = (Branch) d.pick(job(d, 0, 4000));
+        Branch b = (Branch) d.decide(job(d, 0, 4000));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.WHOLE, 2, List.of(route("bb", Route.State.SERVING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         assertEquals(List.of("127.0.0.1:2"), d.addresses());
@@ -137,8 +137,8 @@
         Dispatcher d = dispatcher("a", "bb");
         for (Outcome o : new Outcome[] {Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT}) {
             Transaction t = job(d, 1, 4000);
-            d.report((Branch) d.pick(t), o, null);
-            assertTrue(o.toString(), d.pick(t) instanceof Word.Failed);
+            d.report((Branch) d.decide(t), o, null);
+            assertTrue(o.toString(), d.decide(t) instanceof Decision.Failed);
         }
     }
 
@@ -147,18 +147,18 @@
     public void leavingEndsABranchThatNobodyWillSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
         Transaction t = job(d, 0, 4000);
-        d.report((Branch) d.pick(t), Outcome.TURNED_AWAY, null); // the next branch waits to be read
+        d.report((Branch) d.decide(t), Outcome.TURNED_AWAY, null); // the next branch waits to be read
         d.reportLeft(t);
         assertEquals(0, t.out);
-        assertTrue(d.pick(t) instanceof Word.Left);
+        assertTrue(d.decide(t) instanceof Decision.Left);
     }
 
     /** Guards the lock's owner: an event that the module rejects ends its transaction and nothing else. */
     @Test
     public void whatTheModuleRejectsIsFailed() throws Exception {
         Dispatcher d = dispatcher("a");
-        assertTrue(d.pick(job(d, 99, 4000)) instanceof Word.Failed);
-        assertTrue(d.pick(job(d, 0, 4000)) instanceof Branch);
+        assertTrue(d.decide(job(d, 99, 4000)) instanceof Decision.Failed);
+        assertTrue(d.decide(job(d, 0, 4000)) instanceof Branch);
     }
 
     /** Guards the client: without a worker the module refuses in time, and says when to come back. */
@@ -175,7 +175,7 @@
             }
         });
         ticker.start();
-        Word.BusyAnswer busy = (Word.BusyAnswer) d.pick(job(d, 1, 4000));
+        Decision.BusyAnswer busy = (Decision.BusyAnswer) d.decide(job(d, 1, 4000));
         assertTrue("pause " + busy.pauseMs(), busy.pauseMs() >= 100 && busy.pauseMs() <= 2000);
         ticker.interrupt();
         ticker.join();
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -11,11 +11,11 @@
 import java.util.Map;
 import maplespread.config.ConfigReader;
 import maplespread.facade.Branch;
+import maplespread.facade.Decision;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Route;
 import maplespread.facade.Transaction;
-import maplespread.facade.Word;
 import maplespread.lab.registry.Store;
 import maplespread.lab.registry.VirtualRegistry;
 import maplespread.registry.RegistrySettings.Dialect;
@@ -304,8 +304,8 @@
         Map<String, Integer> sent = new HashMap<>();
         long begun = System.nanoTime();
         for (int i = 0; i < 400; i++) {
-            Word word = d.pick(new Transaction(1, 0, d.nowUs() + 300_000, 100, 1, 0, null));
-            if (word instanceof Branch b) {
+            Decision decision = d.decide(new Transaction(1, 0, d.nowUs() + 300_000, 100, 1, 0, null));
+            if (decision instanceof Branch b) {
                 sent.merge(b.worker(), 1, Integer::sum);
             }
         }
