--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
-import maplespread.facade.Branch;
+import maplespread.facade.Attempt;
 import maplespread.facade.Decision;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Outcome;
@@ -465,7 +465,7 @@
                     return;
                 }
                 Decision decision = dispatcher.decide(job.transaction);
-                if (decision instanceof Branch branch) {
+                if (decision instanceof Attempt branch) {
                     if (branch(job, branch, answer, go)) {
                         over = true;
                         return;
@@ -531,7 +531,7 @@
     }
 
     /** Runs a branch; whether it served the transaction. */
-    private boolean branch(JobRequest job, Branch branch, Answer answer, Turns.Go go) {
+    private boolean branch(JobRequest job, Attempt branch, Answer answer, Turns.Go go) {
         Branches.Ended end = null;
         Outcome outcome = Outcome.RESET; // should the run itself fail
         answer.tried(branch.worker());
--- a/src/main/java/maplespread/facade/Action.java
+++ b/src/main/java/maplespread/facade/Action.java
@@ -9,5 +9,5 @@
     record Watch() implements Action {}
 
     /** Give the branch up. */
-    record Cancel(Branch branch) implements Action {}
+    record Cancel(Attempt branch) implements Action {}
 }
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -119,13 +119,13 @@
     }
 
     /** The branch's job has started (share 0) or has done this share of its work. */
-    public void report(Branch b, boolean started, double share) {
+    public void report(Attempt b, boolean started, double share) {
         locked(() -> guarded(
                 "progress", () -> logic.progress(nowUs(), b.transaction().id, b.number(), b.worker(), started, share)));
     }
 
     /** A branch is over. Unless it served, {@link #decide} has the next word. */
-    public void report(Branch b, Outcome outcome, Load load) {
+    public void report(Attempt b, Outcome outcome, Load load) {
         locked(() -> {
             Transaction t = b.transaction();
             t.out--;
@@ -237,7 +237,7 @@
                 }
                 end(t, new Decision.Left());
                 guarded("gone", () -> logic.gone(nowUs(), t.id));
-                if (unread instanceof Branch b) { // picked, and nobody will send it now
+                if (unread instanceof Attempt b) { // picked, and nobody will send it now
                     report(b, Outcome.NEVER_SENT, null);
                 }
             }
@@ -278,7 +278,7 @@
      * may have been told, the client may have left, whose work would be done for nobody, or the time may have
      * run out in which workers drop a repeat.
      */
-    public SendCheck check(Branch b) {
+    public SendCheck check(Attempt b) {
         BooleanSupplier still = b.transaction().still;
         if (still != null && !still.getAsBoolean()) { // not under the lock: it may have its own
             return SendCheck.TURN_LOST;
@@ -302,7 +302,7 @@
     }
 
     /** Whether it would be harmless to run the branch's job twice. */
-    public boolean repeatable(Branch b) {
+    public boolean repeatable(Attempt b) {
         return spec(b.transaction()).effect() == Dispatch.Effect.READ_LIKE;
     }
 
@@ -444,7 +444,7 @@
         public void send(long id, String worker) {
             Transaction t = open.get(id);
             Route r = routes.get(worker);
-            Branch b = new Branch(t, t.branches.size(), worker, r == null ? "" : r.address(), nowUs());
+            Attempt b = new Attempt(t, t.branches.size(), worker, r == null ? "" : r.address(), nowUs());
             t.branches.add(b);
             t.out++;
             t.word = b;
--- a/src/main/java/maplespread/facade/Transaction.java
+++ b/src/main/java/maplespread/facade/Transaction.java
@@ -20,7 +20,7 @@
     final double memory;
     final String key;
     final Dispatch.Settings under; // whose rules hold; null: the present ones
-    final List<Branch> branches = new ArrayList<>(2);
+    final List<Attempt> branches = new ArrayList<>(2);
     Predicate<String> among; // workers that it may go to; null: any
     BooleanSupplier still; // it may be sent now; null: always
     long id;
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/Branches.java
@@ -7,7 +7,7 @@
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.decision.Dispatch;
-import maplespread.facade.Branch;
+import maplespread.facade.Attempt;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Load;
 import maplespread.facade.Outcome;
@@ -101,7 +101,7 @@
     private final RateLimitedLogger seldom = new RateLimitedLogger();
     private final RateLimitedLogger notSent = new RateLimitedLogger();
     private final RateLimitedLogger unconfirmed = new RateLimitedLogger();
-    private final Map<Branch, Running> running = new ConcurrentHashMap<>();
+    private final Map<Attempt, Running> running = new ConcurrentHashMap<>();
 
     public Branches(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
         this.config = config;
@@ -111,7 +111,7 @@
     }
 
     /** Gives a branch up by closing its connection. */
-    public void cancel(Branch branch) {
+    public void cancel(Attempt branch) {
         Running r = running.get(branch);
         if (r != null) {
             r.cancel();
@@ -128,7 +128,7 @@
     }
 
     /** Sends the message and waits for the branch's end, at most until its transaction's deadline. */
-    public Ended run(Branch branch, Message message) {
+    public Ended run(Attempt branch, Message message) {
         Running me = new Running();
         running.put(branch, me);
         try {
@@ -138,7 +138,7 @@
         }
     }
 
-    private Ended run(Branch branch, Message message, Running me) {
+    private Ended run(Attempt branch, Message message, Running me) {
         Links.Link link;
         try {
             link = links.get(branch.address(), Math.max(1, leftMs(branch)), !dispatcher.repeatable(branch));
@@ -195,7 +195,7 @@
         }
     }
 
-    private Ended answer(Branch branch, Message message, Running me, Links.Link link) {
+    private Ended answer(Attempt branch, Message message, Running me, Links.Link link) {
         JobLines lines = new JobLines(message.id(), (started, share) -> dispatcher.report(branch, started, share));
         HttpParser parser = HttpParser.response(MOST_BYTES, new Lines(LONGEST_LINE, lines::line));
         // A worker's head comes when it has taken the job, long before the job's end: without it, the
@@ -271,7 +271,7 @@
         return System.nanoTime() / 1_000_000;
     }
 
-    private long leftMs(Branch branch) {
+    private long leftMs(Attempt branch) {
         return (branch.transaction().deadlineUs() - dispatcher.nowUs()) / 1000;
     }
 
--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -62,12 +62,12 @@
     @Test
     public void aDrainToldAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.decide(job(d, 0, 4000));
+        Attempt b = (Attempt) d.decide(job(d, 0, 4000));
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 2, List.of(route(b.worker(), Route.State.DRAINING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         d.report(b, Outcome.NEVER_SENT, null);
-        Branch next = (Branch) d.decide(b.transaction());
+        Attempt next = (Attempt) d.decide(b.transaction());
         assertEquals("it goes to the other", 1, next.number());
         assertFalse(next.worker().equals(b.worker()));
     }
@@ -76,7 +76,7 @@
     @Test
     public void aClientThatLeftAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.decide(job(d, 1, 4000));
+        Attempt b = (Attempt) d.decide(job(d, 1, 4000));
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.reportLeft(b.transaction());
         assertEquals(SendCheck.REQUEST_ENDED, d.check(b));
@@ -86,7 +86,7 @@
     @Test
     public void aListThatWentStaleAfterThePickForbidsTheSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
-        Branch b = (Branch) d.decide(job(d, 0, 4000));
+        Attempt b = (Attempt) d.decide(job(d, 0, 4000));
         d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 3000);
         assertEquals(SendCheck.ALLOWED, d.check(b));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
@@ -125,7 +125,7 @@
     @Test
     public void aWholeListDropsTheAbsent() throws Exception {
         Dispatcher d = dispatcher("a");
-        Branch b = (Branch) d.decide(job(d, 0, 4000));
+        Attempt b = (Attempt) d.decide(job(d, 0, 4000));
         d.report(new EndpointUpdate(EndpointUpdate.Kind.WHOLE, 2, List.of(route("bb", Route.State.SERVING))));
         assertEquals(SendCheck.SERVER_NOT_LISTED, d.check(b));
         assertEquals(List.of("127.0.0.1:2"), d.addresses());
@@ -137,7 +137,7 @@
         Dispatcher d = dispatcher("a", "bb");
         for (Outcome o : new Outcome[] {Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT}) {
             Transaction t = job(d, 1, 4000);
-            d.report((Branch) d.decide(t), o, null);
+            d.report((Attempt) d.decide(t), o, null);
             assertTrue(o.toString(), d.decide(t) instanceof Decision.Failed);
         }
     }
@@ -147,7 +147,7 @@
     public void leavingEndsABranchThatNobodyWillSend() throws Exception {
         Dispatcher d = dispatcher("a", "bb");
         Transaction t = job(d, 0, 4000);
-        d.report((Branch) d.decide(t), Outcome.TURNED_AWAY, null); // the next branch waits to be read
+        d.report((Attempt) d.decide(t), Outcome.TURNED_AWAY, null); // the next branch waits to be read
         d.reportLeft(t);
         assertEquals(0, t.out);
         assertTrue(d.decide(t) instanceof Decision.Left);
@@ -158,7 +158,7 @@
     public void whatTheModuleRejectsIsFailed() throws Exception {
         Dispatcher d = dispatcher("a");
         assertTrue(d.decide(job(d, 99, 4000)) instanceof Decision.Failed);
-        assertTrue(d.decide(job(d, 0, 4000)) instanceof Branch);
+        assertTrue(d.decide(job(d, 0, 4000)) instanceof Attempt);
     }
 
     /** Guards the client: without a worker the module refuses in time, and says when to come back. */
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -28,7 +28,7 @@
 import maplespread.caller.Service;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
-import maplespread.facade.Branch;
+import maplespread.facade.Attempt;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.EndpointUpdate;
 import maplespread.facade.Outcome;
@@ -300,7 +300,7 @@
                             return new HttpConnection(held);
                         })) {
             Transaction t = new Transaction(0, 0, node.dispatcher.nowUs() + 60_000_000, 50, 1, 0, null);
-            Branch branch = (Branch) node.dispatcher.decide(t);
+            Attempt branch = (Attempt) node.dispatcher.decide(t);
             Message message = new Message("POST", "/page/x", "a", "page", List.of(), new byte[4]);
             Future<Outcome> outcome = threads.submit(() -> node.branches.run(branch, message).outcome);
             gate.reached();
--- a/src/test/java/maplespread/registry/RegistryCoreTest.java
+++ b/src/test/java/maplespread/registry/RegistryCoreTest.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import maplespread.config.ConfigReader;
-import maplespread.facade.Branch;
+import maplespread.facade.Attempt;
 import maplespread.facade.Decision;
 import maplespread.facade.Dispatcher;
 import maplespread.facade.EndpointUpdate;
@@ -305,7 +305,7 @@
         long begun = System.nanoTime();
         for (int i = 0; i < 400; i++) {
             Decision decision = d.decide(new Transaction(1, 0, d.nowUs() + 300_000, 100, 1, 0, null));
-            if (decision instanceof Branch b) {
+            if (decision instanceof Attempt b) {
                 sent.merge(b.worker(), 1, Integer::sum);
             }
         }
