--- a/src/main/java/maplespread/Server.java
+++ b/src/main/java/maplespread/Server.java
@@ -38,7 +38,7 @@
 import maplespread.registry.RegistrySettings;
 import maplespread.routes.DiscoverySwitch;
 import maplespread.routes.RouteSink;
-import maplespread.worker.Branches;
+import maplespread.worker.AttemptRunner;
 import maplespread.worker.Links;
 import maplespread.worker.Prober;
 import maplespread.worker.Relay;
@@ -74,7 +74,7 @@
     private final Lifecycle lifecycle = new Lifecycle();
     private final Dispatcher dispatcher;
     private final Links links;
-    private final Branches branches;
+    private final AttemptRunner branches;
     private final Prober prober;
     private final DiscoverySwitch routes;
     private final RouteSink sink;
@@ -106,7 +106,7 @@
         probes = threads("probe", config.sizes().probes());
         dispatcher = new Dispatcher(config.settings(), config.seed(), operator.fair());
         links = new Links(this::config, this::sizes);
-        branches = new Branches(this::config, links, dispatcher, figures);
+        branches = new AttemptRunner(this::config, links, dispatcher, figures);
         figures.show(config.names().classes());
         prober = new Prober(this::config, links, dispatcher);
         registry = operator.registry();
--- a/src/main/java/maplespread/caller/CallerLeg.java
+++ b/src/main/java/maplespread/caller/CallerLeg.java
@@ -20,7 +20,7 @@
 import maplespread.http.HttpWriter;
 import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
-import maplespread.worker.Branches;
+import maplespread.worker.AttemptRunner;
 import org.tinylog.Logger;
 
 /**
@@ -532,7 +532,7 @@
 
     /** Runs a branch; whether it served the transaction. */
     private boolean branch(JobRequest job, Attempt branch, Answer answer, Turns.Go go) {
-        Branches.Ended end = null;
+        AttemptRunner.Ended end = null;
         Outcome outcome = Outcome.RESET; // should the run itself fail
         answer.tried(branch.worker());
         try {
--- a/src/main/java/maplespread/caller/Service.java
+++ b/src/main/java/maplespread/caller/Service.java
@@ -9,7 +9,7 @@
 import maplespread.facade.Dispatcher;
 import maplespread.facade.Ends;
 import maplespread.figures.Figures;
-import maplespread.worker.Branches;
+import maplespread.worker.AttemptRunner;
 
 /**
  * What all caller legs share. {@code sizes}: how much may be held at present; {@code serving}: false from the
@@ -20,7 +20,7 @@
 public record Service(
         Supplier<Config> current,
         Dispatcher dispatcher,
-        Branches branches,
+        AttemptRunner branches,
         ExecutorService transactions,
         Supplier<Config.Sizes> sizes,
         Room room,
@@ -42,7 +42,7 @@
     public Service(
             Supplier<Config> current,
             Dispatcher dispatcher,
-            Branches branches,
+            AttemptRunner branches,
             ExecutorService transactions,
             Supplier<Config.Sizes> sizes,
             Figures figures,
--- a/src/main/java/maplespread/facade/Dispatcher.java
+++ b/src/main/java/maplespread/facade/Dispatcher.java
@@ -224,7 +224,7 @@
         return listState;
     }
 
-    /** The client left: no answer is owed. Branches that are out still get their outcome. */
+    /** The client left: no answer is owed. AttemptRunner that are out still get their outcome. */
     public void reportLeft(Transaction t) {
         locked(() -> {
             if (!t.taken && !t.ended) { // its thread has not come to ask yet
--- a/src/main/java/maplespread/worker/Branches.java
+++ b/src/main/java/maplespread/worker/AttemptRunner.java
@@ -23,7 +23,7 @@
 import maplespread.log.Event;
 
 /** Runs branches: one request to one worker each, sent once and never again by itself. */
-public final class Branches {
+public final class AttemptRunner {
     private static final int LONGEST_LINE = 256 * 1024; // a result of 64 KiB, escaped
     private static final long MOST_BYTES = 1 << 20;
     private static final long TAIL_MS = 50; // for the final chunk after the final line
@@ -103,7 +103,7 @@
     private final RateLimitedLogger unconfirmed = new RateLimitedLogger();
     private final Map<Attempt, Running> running = new ConcurrentHashMap<>();
 
-    public Branches(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
+    public AttemptRunner(Supplier<Config> config, Links links, Dispatcher dispatcher, Figures figures) {
         this.config = config;
         this.links = links;
         this.dispatcher = dispatcher;
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -39,7 +39,7 @@
 import maplespread.http.HttpParser;
 import maplespread.net.Loopback.Peer;
 import maplespread.net.Loopback.Site;
-import maplespread.worker.Branches;
+import maplespread.worker.AttemptRunner;
 import maplespread.worker.Links;
 import maplespread.worker.Message;
 import org.junit.jupiter.api.AfterEach;
@@ -127,7 +127,7 @@
     private final class Node implements Closeable {
         final Dispatcher dispatcher;
         final Listener listener;
-        final Branches branches;
+        final AttemptRunner branches;
         final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         final AtomicInteger over = new AtomicInteger(); // transactions
         final Config config;
@@ -140,7 +140,7 @@
             dispatcher.report(config.known());
             dispatcher.report(new EndpointUpdate(EndpointUpdate.Kind.CHANGES, 1, List.of()));
             Links links = new Links(() -> config, config::sizes, dialer);
-            branches = new Branches(() -> config, links, dispatcher, figures);
+            branches = new AttemptRunner(() -> config, links, dispatcher, figures);
             Starts counted = new Starts(work -> transactions.accept(() -> {
                 work.run();
                 over.incrementAndGet();
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -31,7 +31,7 @@
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
 import maplespread.net.Loopback.Peer;
-import maplespread.worker.Branches;
+import maplespread.worker.AttemptRunner;
 import maplespread.worker.Links;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -164,7 +164,7 @@
         Service service = new Service(
                 () -> config,
                 dispatcher,
-                new Branches(() -> config, links, dispatcher, figures),
+                new AttemptRunner(() -> config, links, dispatcher, figures),
                 threads,
                 () -> sizes,
                 figures,
