--- a/src/test/java/maplespread/facade/DispatcherTest.java
+++ b/src/test/java/maplespread/facade/DispatcherTest.java
@@ -31,6 +31,26 @@
         return d;
     }
 
+    /** The decision, while the dispatcher's timers run as they do in service. */
+    private static Decision decidedWithTimers(Dispatcher d, Transaction t) throws InterruptedException {
+        Thread ticker = new Thread(() -> {
+            try {
+                while (true) {
+                    d.tick(1000);
+                }
+            } catch (InterruptedException over) {
+                // the decision has been made
+            }
+        });
+        ticker.start();
+        try {
+            return d.decide(t);
+        } finally {
+            ticker.interrupt();
+            ticker.join();
+        }
+    }
+
     private static Transaction job(Dispatcher d, int cls, double waitMs) {
         return new Transaction(cls, 0, d.nowUs() + Math.round(waitMs * 1000), 100, 1, 0, null);
     }
@@ -93,18 +113,7 @@
         d.reportUnconfirmed(Dispatch.ListDoubt.SILENT, 6000);
         assertEquals(SendCheck.LIST_NOT_CONFIRMED, d.check(b));
         d.report(b, Outcome.NEVER_SENT, null);
-        Thread ticker = new Thread(() -> {
-            try {
-                while (true) {
-                    d.tick(1000);
-                }
-            } catch (InterruptedException over) {
-                // the test is over
-            }
-        });
-        ticker.start();
-        Decision decision = d.decide(b.transaction());
-        ticker.interrupt();
+        Decision decision = decidedWithTimers(d, b.transaction());
         assertTrue(
                 decision.toString(),
                 decision instanceof Decision.BusyAnswer busy && busy.why() == Dispatch.Refusal.LIST_NOT_CONFIRMED);
@@ -165,19 +174,7 @@
     @Test
     public void withoutAWorkerTheAnswerComesInTimeWithAPause() throws Exception {
         Dispatcher d = dispatcher();
-        Thread ticker = new Thread(() -> {
-            try {
-                while (true) {
-                    d.tick(1000);
-                }
-            } catch (InterruptedException over) {
-                // the test's end
-            }
-        });
-        ticker.start();
-        Decision.BusyAnswer busy = (Decision.BusyAnswer) d.decide(job(d, 1, 4000));
+        Decision.BusyAnswer busy = (Decision.BusyAnswer) decidedWithTimers(d, job(d, 1, 4000));
         assertTrue("pause " + busy.pauseMs(), busy.pauseMs() >= 100 && busy.pauseMs() <= 2000);
-        ticker.interrupt();
-        ticker.join();
     }
 }
