--- a/src/test/java/maplespread/decision/ListFreshnessTest.java
+++ b/src/test/java/maplespread/decision/ListFreshnessTest.java
@@ -5,8 +5,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import maplespread.decision.Dispatch.*;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * The list's freshness at any time of a life: every order of a lost watch, an outage, slow answers, a drain, a restart
@@ -261,4 +264,56 @@
         World world = played(new Play(Loss.SILENT, 0, 0, -1, -1, -1, false));
         assertTrue(world.sent >= world.taken - 5, world.sent + " of " + world.taken + " sent");
     }
+
+    /**
+     * Each move of the state alone. Events are {@code time:event}, milliseconds; what follows is the state and whether
+     * a request may be sent at 11,000 ms, after a confirmation at 0 where the row begins with one.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "ask  | 9000:no_answer | UNCONFIRMED | false",
+                "ask  | 9000:refused | UNCONFIRMED | false",
+                "push | 9000:no_answer | UNCONFIRMED | false",
+                "ask  | 0:confirmed | CONFIRMED | true",
+                "ask  | 0:confirmed 6000:silent | RENEWING | true",
+                "ask  | 0:confirmed 5000:silent | STALE | false",
+                "ask  | 0:confirmed 5000:silent 7000:no_answer | STALE | false",
+                "ask  | 0:confirmed 5000:silent 7000:refused | STALE | false",
+                "push | 0:confirmed 5000:silent 7000:no_answer | UNREACHABLE | true",
+                "ask  | 0:confirmed 5000:ended | STALE | false",
+                "ask  | 0:confirmed 5000:ended 8000:no_answer | UNREACHABLE | true",
+                "ask  | 0:confirmed 5000:ended 8000:ended | UNREACHABLE | true",
+                "ask  | 0:confirmed 5000:ended 8000:not_asked | STALE | false",
+                "ask  | 0:confirmed 1000:ended 4000:refused 8000:refused | UNREACHABLE | true",
+                "ask  | 0:confirmed 1000:ended 4000:refused | STALE | false",
+                "ask  | 0:confirmed 1000:ended 4000:refused 6000:no_answer | STALE | false",
+                "ask  | 0:confirmed 1000:ended 4000:refused 6000:no_answer 8000:refused | STALE | false",
+                "ask  | 0:confirmed 7600:moved | RENEWING | true",
+                "ask  | 0:confirmed 7400:moved | STALE | false",
+                "ask  | 0:confirmed 5000:moved 7000:refused | UNREACHABLE | true",
+                "ask  | 0:confirmed 5000:moved 7000:no_answer | STALE | false",
+                "ask  | 0:confirmed 1000:ended 3000:no_answer 9000:moved | RENEWING | true",
+                "ask  | 0:confirmed 1000:ended 3000:no_answer 7000:moved | STALE | false",
+                "ask  | 0:confirmed 1000:silent 7000:no_answer 9000:refused 10000:confirmed | CONFIRMED | true",
+            })
+    void eachEventMovesTheStateAsItsTableSays(String mode, String events, ListState state, boolean usable) {
+        ListState[] now = {ListState.UNCONFIRMED};
+        ListFreshness freshness = new ListFreshness((from, to, age) -> now[0] = to);
+        freshness.settings(mode.equals("push"), 10_000);
+        for (String event : events.split(" ")) {
+            double at = Double.parseDouble(event.substring(0, event.indexOf(':')));
+            String what = event.substring(event.indexOf(':') + 1);
+            freshness.usable(at);
+            switch (what) {
+                case "confirmed" -> freshness.confirmed(at);
+                case "silent" -> freshness.silent(at, 0);
+                case "moved" -> freshness.moved(at);
+                default -> freshness.failed(at, ListLoss.valueOf(what.toUpperCase(Locale.ROOT)), 0);
+            }
+        }
+        assertEquals(usable, freshness.usable(11_000));
+        assertEquals(state, now[0]);
+    }
 }
