--- a/src/test/java/maplespread/routes/SubsetFilterTest.java
+++ b/src/test/java/maplespread/routes/SubsetFilterTest.java
@@ -1,6 +1,7 @@
 package maplespread.routes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -120,8 +121,10 @@
                 8,
                 List.of(new Route(one.worker(), one.address(), State.DRAINING, 1, 0, 0, one.zone(), 0))));
         assertEquals(used + 1, view.size());
+        assertTrue(last.current(), "its source has spoken");
         stage.fleet(10, Cut.Wish.ALL);
         assertEquals(60, view.size());
+        assertFalse(last.current(), "another subset is no word of discovery");
         assertEquals(10, sharers);
         stage.watchLost(Dispatch.ListLoss.ENDED, 0);
         assertEquals(1, lost);
