--- a/review/common/ShapingProxy.java
+++ b/review/common/ShapingProxy.java
@@ -11,12 +11,10 @@
 
 /**
  * The way between a dispatcher and one worker. All ways share one line for what workers answer: it passes so many bytes a
- * second, and serves the connections in turn, slice by slice. While it is cut nothing passes either way, nothing is lost
- * and nothing is said.
+ * second, and serves the connections in turn, slice by slice. Nothing is lost.
  */
 final class ShapingProxy {
     private static final int SLICE_BYTES = 4096;
-    private static volatile boolean cut;
     private static long lineFreeNanos = System.nanoTime();
 
     final int port;
@@ -44,23 +42,17 @@
         });
     }
 
-    /** Cuts all ways, or opens them again. */
-    static void cut(boolean now) {
-        cut = now;
-    }
-
     private static synchronized long reserve(long nanos) {
         lineFreeNanos = Math.max(lineFreeNanos, System.nanoTime()) + nanos;
         return lineFreeNanos;
     }
 
-    private void pass(Socket from, Socket to, boolean shaped) throws IOException, InterruptedException {
+    private void pass(Socket from, Socket to, boolean shaped) throws IOException {
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             byte[] slice = new byte[SLICE_BYTES];
             for (int count = in.read(slice); count >= 0; count = in.read(slice)) {
-                awaitOpen();
                 if (shaped) {
                     long dueNanos = reserve(count * 1_000_000_000L / bytesPerSecond);
                     for (long left = dueNanos - System.nanoTime(); left > 0; left = dueNanos - System.nanoTime()) {
@@ -69,18 +61,10 @@
                 }
                 out.write(slice, 0, count);
             }
-            awaitOpen();
             to.shutdownOutput();
         } catch (IOException e) {
-            awaitOpen();
             from.close();
             to.close();
         }
     }
-
-    private static void awaitOpen() throws InterruptedException {
-        while (cut) {
-            Thread.sleep(5);
-        }
-    }
 }
