Processes that replace each other share the ids of their requests

Change: while a process sees another of its dispatcher, it claims ids in tables that both map from the shared directory. The new process waits 2 s at most for the old one's ids, and refuses what must not run twice while they are unknown. Outside an upgrade nothing is claimed.

--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -22,6 +22,7 @@
 import maplespread.admin.AdminRoutes;
 import maplespread.admin.AdminServer;
 import maplespread.caller.ClientListener;
+import maplespread.caller.RecentRequestIds;
 import maplespread.caller.ServingContext;
 import maplespread.config.Config;
 import maplespread.config.ConfigException;
@@ -97,6 +98,8 @@
     private final EndpointSourceSwitch endpointSource;
     private final EndpointListener endpointListener;
     private final Features features;
+    private final RecentRequestIds recentIds =
+            new RecentRequestIds(() -> config().times().longestDeadlineMs());
     private volatile Consumer<EndpointUpdate> endpointObserver = update -> {};
     /** The registry that the endpoint list comes from; null if the list comes from discovery. */
     private RegistrySettings registry;
@@ -219,6 +222,11 @@
             return lifecycle.accepting();
         }
 
+        @Override
+        public RecentRequestIds requestIds() {
+            return recentIds;
+        }
+
         @Override
         public InetSocketAddress listenAddress() {
             ServerSocket bound = socket;
@@ -252,6 +260,7 @@
                         "no endpoint list received within {} ms; rejecting requests until a list is confirmed",
                         limitMs);
             }
+            features.beforeServing();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -275,7 +284,7 @@
                         endpointSource::notReadyReason,
                         lifecycle::closingConnections,
                         () -> shutdownDeadlineUs),
-                new ServingContext.RequestHooks(features.requestListener(), features.requestSequencer()));
+                new ServingContext.RequestHooks(recentIds, features.requestListener(), features.requestSequencer()));
         listener = new ClientListener(
                 socket,
                 service,
--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -411,9 +411,10 @@
             return;
         }
         String requestId = request.message.id();
-        if (!context.recentIds().register(requestId)) { // the same request may not run twice
+        RecentRequestIds.Registration registration = context.recentIds().register(requestId, request.mayRunTwice());
+        if (registration != RecentRequestIds.Registration.REGISTERED) {
             context.requestPermits().release();
-            rejectFaulty(response, 409, "this X-Txn was used before");
+            rejectUnregistered(registration, request, response);
             return;
         }
         validated = true;
@@ -443,6 +444,17 @@
         watchClient(request.inFlight, response);
     }
 
+    /** Rejects a request whose id was used before, or may have been. */
+    private void rejectUnregistered(
+            RecentRequestIds.Registration registration, ClientRequest request, ClientResponse response) {
+        if (registration == RecentRequestIds.Registration.USED) {
+            rejectFaulty(response, 409, "this X-Txn was used before");
+        } else {
+            response.accepted(request, context.hooks().listener());
+            response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
+        }
+    }
+
     private void complete(String requestId) {
         context.recentIds().complete(requestId);
         context.requestPermits().release();
--- a/src/main/java/maplespread/caller/ClientRequest.java
+++ b/src/main/java/maplespread/caller/ClientRequest.java
@@ -33,6 +33,7 @@
     /** The request as the decision service sees it. */
     final InFlightRequest inFlight;
 
+    private final Idempotency idempotency;
     private final HttpHead head;
     private final String tenant;
     private final Map<String, Double> labels;
@@ -64,13 +65,14 @@
         double workMs = number(atMostOne("X-Estimate"), "X-Estimate", Double.NaN) / 1000;
         labels = readLabels();
         String entity = atMostOne("X-Entity");
+        idempotency = config.settings().classes().get(classIndex).idempotency();
         List<String[]> fields = new ArrayList<>();
         addField(fields, "X-Lane", requestClass);
         if (tenant != null) {
             addField(fields, "X-Org", tenant);
         }
         addEntity(fields, entity);
-        addIdempotencyKey(fields, config.settings().classes().get(classIndex).idempotency());
+        addIdempotencyKey(fields);
         message = new WorkerRequest(head.method(), head.target(), requestId, requestClass, fields, body);
         long deadlineUs = lastByteUs + Math.round(waitMs * 1000) - RESPONSE_TRANSIT_US;
         inFlight = new InFlightRequest(
@@ -166,7 +168,7 @@
      * workers discard a request whose key repeats: a worker that does not receive the key runs the request twice, and
      * one that receives another key treats it as another request.
      */
-    private void addIdempotencyKey(List<String[]> fields, Idempotency idempotency) throws HttpException {
+    private void addIdempotencyKey(List<String[]> fields) throws HttpException {
         String key = atMostOne("Idempotency-Key");
         boolean missing = key == null || key.isEmpty();
         if (missing && idempotency == Idempotency.IDEMPOTENCY_KEY) {
@@ -205,6 +207,11 @@
                 (inFlight.deadlineUs() - nowUs) / 1000);
     }
 
+    /** Whether it does no harm if the request runs twice, or workers drop the repeat. */
+    boolean mayRunTwice() {
+        return idempotency != Idempotency.NON_IDEMPOTENT;
+    }
+
     /** Whether the request was forwarded by another dispatcher, which holds the client's connection. */
     boolean isForwarded() {
         return head.get(RequestSequencer.FORWARDED_BY_HEADER) != null;
--- a/src/main/java/maplespread/caller/ServingContext.java
+++ b/src/main/java/maplespread/caller/ServingContext.java
@@ -25,7 +25,6 @@
         Supplier<Config.Limits> limits,
         ConcurrencyLimit requestPermits,
         Semaphore largeBodyPermits,
-        RecentRequestIds recentIds,
         Metrics metrics,
         ServiceState state,
         RequestHooks hooks) {
@@ -44,12 +43,13 @@
             LongSupplier shutdownDeadlineUs) {}
 
     /**
-     * The optional features' hooks into request processing.
+     * What else takes part in the processing of a request.
      *
+     * @param recentIds the ids of the requests in flight and of recent ones
      * @param listener notified of each request, or null
      * @param sequencer orders requests, or null
      */
-    public record RequestHooks(RequestListener listener, RequestSequencer sequencer) {}
+    public record RequestHooks(RecentRequestIds recentIds, RequestListener listener, RequestSequencer sequencer) {}
 
     /** Length in bytes above which a body needs one of a few permits, so that all bodies together fit the heap. */
     static final int LARGE_BODY_BYTES = 8 * 1024;
@@ -74,12 +74,15 @@
                 limits,
                 new ConcurrencyLimit(() -> limits.get().requestsInFlight()),
                 new Semaphore(MAX_LARGE_BODIES),
-                new RecentRequestIds(() -> currentConfig.get().times().longestDeadlineMs()),
                 metrics,
                 state,
                 hooks);
     }
 
+    RecentRequestIds recentIds() {
+        return hooks.recentIds();
+    }
+
     /** Returns the configuration in force; read once for each request, which uses it to its end. */
     Config config() {
         return currentConfig.get();
--- a/src/main/java/maplespread/feature/Feature.java
+++ b/src/main/java/maplespread/feature/Feature.java
@@ -23,6 +23,9 @@
     /** Starts before the dispatcher listens for clients. Must not wait. */
     default void start() throws IOException {}
 
+    /** The dispatcher is about to listen for clients. May wait for a bounded time. */
+    default void beforeServing() throws InterruptedException {}
+
     /** The dispatcher serves clients from now on. */
     default void onServing() {}
 
--- a/src/main/java/maplespread/feature/FeatureContext.java
+++ b/src/main/java/maplespread/feature/FeatureContext.java
@@ -1,6 +1,7 @@
 package maplespread.feature;
 
 import java.net.InetSocketAddress;
+import maplespread.caller.RecentRequestIds;
 import maplespread.config.Config;
 import maplespread.metrics.Metrics;
 import maplespread.worker.PeerForwarder;
@@ -34,6 +35,9 @@
     /** Whether clients that come are accepted. */
     boolean isAccepting();
 
+    /** The ids of the requests in flight and of recent ones. */
+    RecentRequestIds requestIds();
+
     /** Where clients connect; null before the listener is bound. */
     InetSocketAddress listenAddress();
 
--- a/src/main/java/maplespread/feature/Features.java
+++ b/src/main/java/maplespread/feature/Features.java
@@ -63,6 +63,13 @@
         }
     }
 
+    /** The dispatcher is about to listen for clients; waits for what a feature needs before, for a bounded time. */
+    public void beforeServing() throws InterruptedException {
+        for (Feature feature : features) {
+            feature.beforeServing();
+        }
+    }
+
     /** The dispatcher serves clients from now on. */
     public void onServing() {
         for (Feature feature : features) {
--- a/src/main/java/maplespread/feature/UpgradeFeature.java
+++ b/src/main/java/maplespread/feature/UpgradeFeature.java
@@ -1,6 +1,8 @@
 package maplespread.feature;
 
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import maplespread.config.Config;
 import maplespread.policy.PolicySettings;
 import maplespread.upgrade.InstanceLock;
@@ -12,10 +14,17 @@
  * share out.
  */
 final class UpgradeFeature implements Feature {
+    /** Time in milliseconds that a process that starts waits for the request ids of the one it replaces. */
+    private static final long MAX_PEER_WAIT_MS = 2000;
+
+    private static final long PEER_POLL_MS = 20;
+
     private final Config config;
     private final FeatureContext context;
     /** Null: not started, or the directory cannot be used. */
     private InstanceLock instanceLock;
+    /** Null where the instance lock is. */
+    private RequestIdSharing idSharing;
 
     private volatile boolean hasPeerProcess;
 
@@ -29,12 +38,38 @@
         InetSocketAddress listen = config.listen();
         String address = listen.getAddress().getHostAddress() + ':' + listen.getPort();
         instanceLock = InstanceLock.acquire(config.tmp(), address).orElse(null);
+        if (instanceLock != null) {
+            idSharing = new RequestIdSharing(config.tmp(), address, context, instanceLock);
+        }
         maintain();
     }
 
+    /** Waits until the other processes share their request ids, at most for {@link #MAX_PEER_WAIT_MS}. */
+    @Override
+    public void beforeServing() throws InterruptedException {
+        if (idSharing == null) {
+            return;
+        }
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_PEER_WAIT_MS);
+        while (!idSharing.update(instanceLock.peers())) {
+            if (System.nanoTime() > endNanos) {
+                Logger.warn(
+                        "another process of this dispatcher has not shared its request ids within {} ms; "
+                                + "rejecting requests that must not run twice until it has",
+                        MAX_PEER_WAIT_MS);
+                return;
+            }
+            Thread.sleep(PEER_POLL_MS);
+        }
+    }
+
     @Override
     public void maintain() {
-        boolean hasPeer = instanceLock != null && instanceLock.hasPeer();
+        List<InstanceLock.Peer> peers = instanceLock == null ? List.of() : instanceLock.peers();
+        if (idSharing != null) {
+            idSharing.update(peers);
+        }
+        boolean hasPeer = !peers.isEmpty();
         if (hasPeer != hasPeerProcess) {
             hasPeerProcess = hasPeer;
             context.reapplySettings();
--- a/src/main/java/maplespread/lab/scale/SimulatedMember.java
+++ b/src/main/java/maplespread/lab/scale/SimulatedMember.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.Map;
 import maplespread.admin.AdminRoutes;
+import maplespread.caller.RecentRequestIds;
 import maplespread.config.Config;
 import maplespread.config.OperatorConfig;
 import maplespread.discovery.EndpointListener;
@@ -81,6 +82,11 @@
             return serving;
         }
 
+        @Override
+        public RecentRequestIds requestIds() {
+            throw new UnsupportedOperationException("no clients");
+        }
+
         @Override
         public InetSocketAddress listenAddress() {
             return LISTENS;
--- a/src/main/java/maplespread/upgrade/InstanceLock.java
+++ b/src/main/java/maplespread/upgrade/InstanceLock.java
@@ -10,9 +10,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.EnumSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import maplespread.http.RateLimitedLogger;
 import org.tinylog.Logger;
 
@@ -27,11 +27,21 @@
     private static final String FILE_PREFIX = "maplespread-";
     private static final String LOCK_SUFFIX = ".lock";
     private static final String RECORD_SUFFIX = ".note";
+    /** Suffix of the file that exists while a process claims its request ids in {@link SharedIdTables}. */
+    private static final String SHARING_SUFFIX = ".sharing";
     /** Suffix of a lock file that is not locked yet. */
     private static final String NEW_LOCK_SUFFIX = ".begin";
     /** Suffix of a record that is not completely written yet. */
     private static final String NEW_RECORD_SUFFIX = ".next";
 
+    /**
+     * Another process of this dispatcher that is running.
+     *
+     * @param name identifies the process among all that have used the directory
+     * @param sharesIds whether it claims its request ids in {@link SharedIdTables}
+     */
+    public record Peer(String name, InstanceRecord.Phase phase, boolean sharesIds) {}
+
     private final Path directory;
     private final String self;
     private final String listenAddress;
@@ -62,9 +72,8 @@
             if (channel.tryLock() == null) {
                 throw new IOException("the new lock file is already locked");
             }
-            // The file is locked before it gets its final name. Otherwise another process could take it for the file of
-            // a
-            // dead process and delete it.
+            // The file is locked before it gets its final name. Otherwise another process could take it for the file
+            // of a dead process and delete it.
             Files.move(unlocked, directory.resolve(self + LOCK_SUFFIX), StandardCopyOption.ATOMIC_MOVE);
             InstanceLock instanceLock = new InstanceLock(directory, self, listenAddress, channel);
             instanceLock.write(InstanceRecord.Phase.STARTING);
@@ -100,42 +109,60 @@
         return directory.resolve(process + LOCK_SUFFIX);
     }
 
+    /**
+     * Publishes that this process claims its request ids in the shared tables, or that it no longer does.
+     *
+     * @throws IOException if the file cannot be written or deleted
+     */
+    public void publishSharing(boolean shares) throws IOException {
+        if (shares) {
+            Files.writeString(sharingFile(self), "");
+        } else {
+            Files.deleteIfExists(sharingFile(self));
+        }
+    }
+
+    private Path sharingFile(String process) {
+        return directory.resolve(process + SHARING_SUFFIX);
+    }
+
     /** Whether any other process of this dispatcher is running. */
     public boolean hasPeer() {
-        return hasPeerIn(EnumSet.allOf(InstanceRecord.Phase.class));
+        return !peers().isEmpty();
     }
 
     /** Whether another process of this dispatcher is running and accepts clients. */
     public boolean hasServingPeer() {
-        return hasPeerIn(EnumSet.of(InstanceRecord.Phase.SERVING));
+        return peers().stream().anyMatch(peer -> peer.phase() == InstanceRecord.Phase.SERVING);
     }
 
-    /** Checks every process, even after finding a match, because the check deletes the files of dead processes. */
-    private boolean hasPeerIn(Set<InstanceRecord.Phase> phases) {
-        boolean peerFound = false;
+    /** Returns the other processes of this dispatcher, and deletes the files of dead processes. */
+    public List<Peer> peers() {
+        List<Peer> peers = new ArrayList<>();
         try (DirectoryStream<Path> locks = Files.newDirectoryStream(directory, FILE_PREFIX + '*' + LOCK_SUFFIX)) {
             for (Path lockFile : locks) {
                 String fileName = lockFile.getFileName().toString();
                 String process = fileName.substring(0, fileName.length() - LOCK_SUFFIX.length());
                 if (!process.equals(self)) {
-                    peerFound |= isPeerIn(process, phases);
+                    findPeer(process).ifPresent(peers::add);
                 }
             }
         } catch (IOException | RuntimeException e) {
             rateLimitedLogger.warn("cannot check for other processes of this dispatcher: " + e);
         }
-        return peerFound;
+        return peers;
     }
 
-    private boolean isPeerIn(String process, Set<InstanceRecord.Phase> phases) throws IOException {
+    private Optional<Peer> findPeer(String process) throws IOException {
         Path recordFile = recordFile(process);
         if (!isHeld(lockFile(process))) { // the process has ended
             Files.deleteIfExists(recordFile);
+            Files.deleteIfExists(sharingFile(process));
             Files.deleteIfExists(lockFile(process));
-            return false;
+            return Optional.empty();
         }
         if (!Files.exists(recordFile)) { // the process has just started, or is closing
-            return false;
+            return Optional.empty();
         }
         Optional<InstanceRecord> instanceRecord = InstanceRecord.parse(Files.readString(recordFile));
         if (instanceRecord.isEmpty()) {
@@ -143,8 +170,7 @@
         }
         return instanceRecord
                 .filter(peer -> peer.listenAddress().equals(listenAddress))
-                .filter(peer -> phases.contains(peer.phase()))
-                .isPresent();
+                .map(peer -> new Peer(process, peer.phase(), Files.exists(sharingFile(process))));
     }
 
     private static boolean isHeld(Path lockFile) throws IOException {
@@ -161,6 +187,7 @@
     public void close() {
         try {
             Files.deleteIfExists(recordFile(self));
+            Files.deleteIfExists(sharingFile(self));
             Files.deleteIfExists(lockFile(self));
         } catch (IOException e) {
             Logger.warn("cannot delete the files of the instance lock: {}", e.toString());
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import maplespread.caller.ClientListener;
+import maplespread.caller.RecentRequestIds;
 import maplespread.caller.ServingContext;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -153,7 +154,8 @@
                     config::limits,
                     figures,
                     new ServingContext.ServiceState(() -> true, () -> null, () -> false, () -> Long.MAX_VALUE),
-                    new ServingContext.RequestHooks(null, null));
+                    new ServingContext.RequestHooks(
+                            new RecentRequestIds(() -> config.times().longestDeadlineMs()), null, null));
             listener = new ClientListener(door, service, new Starts(legs), new Starts(legs));
             threads.execute(listener);
         }
--- a/src/test/java/maplespread/net/Loopback.java
+++ b/src/test/java/maplespread/net/Loopback.java
@@ -475,6 +475,8 @@
 
     static final String CLOSE_WAIT = "08";
 
+    static final String LISTEN = "0A";
+
     /** How many connections to the port the system holds in the state, accepted by the program or not. */
     static int connections(int port, String state) {
         String mine = String.format(":%04X ", port);
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -22,6 +22,7 @@
 import maplespread.DispatcherServer;
 import maplespread.Lifecycle;
 import maplespread.caller.ClientListener;
+import maplespread.caller.RecentRequestIds;
 import maplespread.caller.ServingContext;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -169,7 +170,8 @@
                 () -> sizes,
                 figures,
                 new ServingContext.ServiceState(() -> !parting, () -> null, () -> parting, () -> Long.MAX_VALUE),
-                new ServingContext.RequestHooks(null, null));
+                new ServingContext.RequestHooks(
+                        new RecentRequestIds(() -> config.times().longestDeadlineMs()), null, null));
         door = new Door();
         listener = new ClientListener(door, service, threads, threads);
         threads.execute(listener);
