Only a list that is confirmed ends the wait for the next call to discovery

Cause: every list or change that reached the policy took back the call scheduled after a failure, also a change of the address that discovery had left, or of the subset after a reload.

Change: endpointListConfirmed ends the wait, not endpointListReceived; a cached list that the host trusts does not.

Measured: the three new tests failed on the code before (no further call in 60 s, or after the first failure) and pass; SimulatorAdapterGoldenTest is as recorded.

--- a/src/main/java/maplespread/policy/DiscoveryPollSchedule.java
+++ b/src/main/java/maplespread/policy/DiscoveryPollSchedule.java
@@ -38,7 +38,7 @@
 
     private static final int MAX_BACKOFF_DOUBLINGS = 6;
 
-    /** Poll time while no call is due: a list has arrived, or none was ever lost. Later than any real time. */
+    /** Poll time while no call is due: the list is confirmed, or none was ever lost. Later than any real time. */
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
     private final PolicyContext context;
@@ -57,8 +57,11 @@
         pollAtMs = context.nowMs + ownOffsetIn(Math.max(0, spreadMs));
     }
 
-    /** Discovery has answered: no call is due until the watch fails. */
-    void listReceived() {
+    /**
+     * Discovery has answered: no call is due until the watch fails. A change that does not confirm the list, such as one
+     * from an address that discovery has left, is no answer.
+     */
+    void listConfirmed() {
         pollAtMs = NEVER;
         failedCalls = 0;
     }
--- a/src/main/java/maplespread/policy/DispatchPolicy.java
+++ b/src/main/java/maplespread/policy/DispatchPolicy.java
@@ -26,6 +26,7 @@
     private final CandidateCosts costs;
     private final ProbeScheduler probes;
     private final WorkerSelector selector;
+    private EndpointListKind lastListKind = EndpointListKind.CACHED_SNAPSHOT;
 
     /**
      * Creates a policy without workers.
@@ -83,11 +84,10 @@
         directory.forgetUnlisted();
         costs.invalidate();
         requests.probing().forEach(request -> request.probed.clear());
+        lastListKind = kind;
         if (kind == EndpointListKind.CACHED_SNAPSHOT) {
             pollSchedule.cachedSnapshotReceived(entries.size());
             scheduleFirstTick();
-        } else {
-            pollSchedule.listReceived();
         }
     }
 
@@ -103,6 +103,9 @@
         advanceTo(nowUs);
         boolean wasUsable = freshness.usable(context.nowMs);
         freshness.confirmed(context.nowMs);
+        if (lastListKind != EndpointListKind.CACHED_SNAPSHOT) { // a cached list that the host trusts is no answer
+            pollSchedule.listConfirmed();
+        }
         if (!wasUsable) {
             placeParked();
         }
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -300,6 +300,36 @@
         }
     }
 
+    /** Guards against a dispatcher that serves nobody after a move: what the old address tells is not the new one's word. */
+    @Test
+    public void aFailedCallAfterAMoveIsFollowedByOthersWhateverTheOldAddressTells() throws Exception {
+        AtomicInteger refused = new AtomicInteger(3);
+        try (Peer worker = new Peer(DONE);
+                Loopback here = new Loopback(worker)) {
+            Call old = here.discovery.next();
+            Peer elsewhere = new Peer(call -> {
+                if (refused.getAndDecrement() > 0) {
+                    old.line(list(2, false, "SERVING", worker)); // a change told at the old address
+                    call.link.close();
+                } else {
+                    Loopback.CONFIRMS.answer(call);
+                }
+            });
+            try {
+                here.file = here.file.replace(here.discovery.address(), elsewhere.address());
+                here.server.reload();
+                for (int i = 0; i < 4; i++) {
+                    elsewhere.next();
+                }
+                try (Client client = here.new Client()) {
+                    assertEquals(200, client.status(job("page", "t", 4000)));
+                }
+            } finally {
+                elsewhere.close();
+            }
+        }
+    }
+
     /** Guards against a bad file: nothing of it is applied, and the next good one is. */
     @Test
     public void aFileThatCannotBeUsedLeavesTheOldConfiguration() throws Exception {
--- a/src/test/java/maplespread/net/SubsetStoryTest.java
+++ b/src/test/java/maplespread/net/SubsetStoryTest.java
@@ -87,6 +87,49 @@
         }
     }
 
+    /** Guards against a dispatcher that never calls discovery again: a new subset, by a reload, is no word of its. */
+    @Test
+    void aReloadInAnOutageTakesBackNoCall() throws Exception {
+        for (int i = 0; i < workers.length; i++) {
+            workers[i] = new Loopback.Peer(call -> {});
+        }
+        Loopback here = new Loopback(workers);
+        here.server.stop(); // another one takes its place
+        discovery = here.discovery;
+        OperatorConfig operator = new OperatorConfig(false, null, WISH, false);
+        DispatcherServer server = new DispatcherServer(
+                ConfigReader.read(file(), Map.of()), operator, new DispatcherServer.ConfigSource() {
+                    @Override
+                    public Config read() throws ConfigException {
+                        return ConfigReader.read(file(), Map.of());
+                    }
+
+                    @Override
+                    public OperatorConfig operator() {
+                        return operator;
+                    }
+                });
+        here.server = server;
+        try {
+            discovery.calls.clear();
+            server.start();
+            Loopback.Call watch = discovery.next();
+            discovery.script = call -> {
+                server.reload(); // forwards the subset anew, while the next call is due
+                call.link.close();
+            };
+            watch.link.close();
+            for (int i = 0; i < 4; i++) {
+                discovery.next();
+            }
+        } finally {
+            here.close();
+            for (Loopback.Peer w : workers) {
+                w.close();
+            }
+        }
+    }
+
     private int sharers() {
         SubsetAssignment cut = expected();
         cut.workers();
--- a/src/test/java/maplespread/policy/DiscoveryPollBackoffTest.java
+++ b/src/test/java/maplespread/policy/DiscoveryPollBackoffTest.java
@@ -128,4 +128,23 @@
         }
         assertTrue(soonestMs >= 780 && latestMs > 1800 && latestMs <= 2700, soonestMs + " to " + latestMs);
     }
+
+    /**
+     * Guards against a dispatcher that never polls again: a change that does not confirm the list, as an address sends
+     * that discovery has left, or a new subset, must not take back the poll that is due after a failure.
+     */
+    @Test
+    void anUnconfirmedChangeTakesBackNoPoll() {
+        RuleCheckingHost host = unconfirmed(7);
+        host.advance(400);
+        for (int i = 0; i < 10; i++) {
+            host.listFailed(EndpointWatchFailure.NO_ANSWER);
+            int pollsBefore = host.watchCalls;
+            for (int j = 0; j < 9; j++) {
+                host.receiveUnconfirmedChange();
+                host.advance(300);
+            }
+            assertTrue(host.watchCalls > pollsBefore, "after failure " + i);
+        }
+    }
 }
--- a/src/test/java/maplespread/policy/RuleCheckingHost.java
+++ b/src/test/java/maplespread/policy/RuleCheckingHost.java
@@ -140,6 +140,11 @@
         }
     }
 
+    /** Receives a change, without entries, from a source that does not confirm the list. */
+    void receiveUnconfirmedChange() {
+        policy.endpointListReceived(nowUs(), EndpointListKind.DELTA, 1, List.of());
+    }
+
     TestRequest accept(long id, double workMs) {
         return accept(id, 0, workMs, 0);
     }
