One bound for the memory of all messages in progress; the slowest gives way

Cause: limits held for each connection, none for their sum, and each header field cost some 130 bytes for four sent. 500 connections stopped inside heads of 2,000 short fields, on a real process with the deploy file's flags: 4 OutOfMemoryErrors in 8 s, others' answers after up to 3.5 s.

Change: MemoryBudget, a fifth of the heap, for requests and long answers; the longest held gives way and keeps its place without memory until its time is over. Fields that nobody reads are not kept, nor the map of labels. The permits for large bodies go. A kept connection used within a second is not closed for a crowd that connects anew.

--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -36,6 +36,7 @@
 import maplespread.feature.EndpointSources;
 import maplespread.feature.FeatureContext;
 import maplespread.feature.Features;
+import maplespread.http.MemoryBudget;
 import maplespread.metrics.Metrics;
 import maplespread.policy.EndpointListDoubt;
 import maplespread.policy.EndpointWatchFailure;
@@ -55,6 +56,9 @@
     /** Stack size in bytes of each thread; the total is this times the thread counts derived from Config.Limits. */
     private static final long THREAD_STACK_BYTES = 144 * 1024;
 
+    /** The heap holds this many times the memory of all messages in progress. */
+    private static final long HEAP_PER_BUDGET = 5;
+
     private static final int ACCEPT_BACKLOG = 2048;
     /** Maximum number of threads for client connections beyond the limit. */
     private static final int OVER_LIMIT_THREADS = 16;
@@ -143,7 +147,8 @@
         probes = daemonThreads("probe", config.limits().probes());
         decisions = new DecisionService(config.settings(), config.seed(), operator.fair());
         connectionPool = new ConnectionPool(this::config, this::presentLimits);
-        attemptRunner = new AttemptRunner(this::config, connectionPool, decisions, metrics);
+        MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUDGET);
+        attemptRunner = new AttemptRunner(this::config, connectionPool, decisions, metrics, memory);
         metrics.showClasses(config.names().classes());
         prober = new Prober(this::config, connectionPool, decisions);
         registry = operator.registry();
--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -1,6 +1,5 @@
 package maplespread.caller;
 
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
@@ -9,11 +8,14 @@
 import maplespread.config.Config;
 import maplespread.facade.DecisionService;
 import maplespread.facade.InFlightRequest;
+import maplespread.http.BodyBuffer;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpException;
 import maplespread.http.HttpHead;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
+import maplespread.http.MemoryBudget;
+import maplespread.http.OutOfBudgetException;
 import org.tinylog.Logger;
 
 /**
@@ -45,7 +47,14 @@
      */
     private static final long FAULT_DELAY_MS = 25;
 
-    private static final int READ_BUFFER_BYTES = 256;
+    /** Memory in bytes that a request takes beside its bytes. */
+    private static final long REQUEST_BYTES = 2048;
+    /** Memory taken for each byte of a request: it is kept once, and copied for an attempt. */
+    private static final long MEMORY_PER_BYTE = 2;
+    /** Time in milliseconds from which on a request that is still being read is a slow one. */
+    private static final long SLOW_READ_MS = 200;
+    /** Time limit in milliseconds for the wait until others release memory. */
+    private static final long MEMORY_WAIT_MS = 250;
 
     /** The connection's phase, for the threads that may close the connection. */
     private enum Phase {
@@ -77,6 +86,10 @@
     private Phase phase = Phase.IDLE;
 
     private boolean answeredBefore;
+    /** Whether the memory of the request being read has been taken back. Guarded by this connection's monitor. */
+    private boolean memoryRevoked;
+    /** Whether the request's thread releases the memory of the request. */
+    private boolean memoryHandedOver;
     /** Whether bytes of the request had arrived before the connection waited for them. */
     private boolean arrivedEarly;
 
@@ -119,7 +132,7 @@
 
     /** Enters a phase; false if the connection is closing. */
     private synchronized boolean enter(Phase next, ClientResponse response) {
-        if (phase == Phase.CLOSING) {
+        if (phase == Phase.CLOSING || memoryRevoked) {
             return false;
         }
         phase = next;
@@ -131,9 +144,16 @@
         return lastActivityNanos;
     }
 
-    /** Whether the connection has no unread bytes, and is either idle or reading a request but not validated. */
+    /**
+     * Whether the connection is either idle or reading a request but not validated, and has no unread bytes, or has
+     * them while it has been reading for long: it waits for memory, or its client sends more than others do.
+     */
     boolean isEvictable() {
-        return (phase() == Phase.IDLE || awaitsFirstRequest()) && !connection.pending();
+        if (!connection.pending()) {
+            return phase() == Phase.IDLE || awaitsFirstRequest();
+        }
+        boolean slow = System.nanoTime() - lastActivityNanos > SLOW_READ_MS * NANOS_PER_MS;
+        return slow && awaitsFirstRequest() && phase() == Phase.READING;
     }
 
     /** Whether no part of a request has arrived, so that closing the connection loses none. */
@@ -167,10 +187,43 @@
             return false;
         }
         phase = Phase.CLOSING;
+        notifyAll();
         connection.endReading();
         return true;
     }
 
+    /**
+     * Ends the reading of a request whose memory others need; the request is rejected when its time is over.
+     *
+     * @return false if none is being read
+     */
+    private synchronized boolean revokeMemory() {
+        if (phase != Phase.READING || memoryRevoked) {
+            return false;
+        }
+        memoryRevoked = true;
+        connection.endReading();
+        return true;
+    }
+
+    private synchronized boolean memoryRevoked() {
+        return memoryRevoked;
+    }
+
+    /**
+     * Waits, without the request's memory, until the time for the request is over or the connection is evicted: a client
+     * that is sent away at once would come back at once.
+     */
+    private synchronized void awaitEndOfReading(long completeByNanos) throws InterruptedException {
+        while (phase != Phase.CLOSING) {
+            long leftMs = (completeByNanos - System.nanoTime()) / NANOS_PER_MS;
+            if (leftMs <= 0) {
+                return;
+            }
+            wait(leftMs);
+        }
+    }
+
     /** Fails the current request: it may have run, and this process will not learn how it ends. */
     void fail() {
         ClientResponse response = current;
@@ -208,8 +261,8 @@
 
     /** Reads one request and has it answered; returns whether the connection stays open. */
     private boolean handleNext() throws IOException, InterruptedException {
-        ByteArrayOutputStream body = new ByteArrayOutputStream(READ_BUFFER_BYTES);
-        HttpParser parser = HttpParser.request(body::write);
+        BodyBuffer body = new BodyBuffer();
+        HttpParser parser = HttpParser.request(ClientRequest.FIELD_NAMES, body);
         arrivedEarly = connection.buffer().hasRemaining();
         if (!awaitFirstByte()) {
             return false;
@@ -234,68 +287,86 @@
     }
 
     /** Reads a request and answers it; false if the connection must close at once. */
-    private boolean readAndAnswer(
-            HttpParser parser, ByteArrayOutputStream body, long completeByNanos, ClientResponse response)
+    private boolean readAndAnswer(HttpParser parser, BodyBuffer body, long completeByNanos, ClientResponse response)
             throws IOException, InterruptedException {
-        boolean hasLargeBodyPermit = false;
+        MemoryBudget.Reservation memory = context.memory().open(MemoryBudget.Use.REQUEST, this::revokeMemory);
+        memoryHandedOver = false;
         try {
             if (!enter(Phase.READING, null)) {
                 response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
                 return false;
             }
-            connection.receiveBy(parser, completeByNanos, true);
-            if (parser.bodyLength() > ServingContext.LARGE_BODY_BYTES) {
-                hasLargeBodyPermit = context.largeBodyPermits().tryAcquire();
-                if (!hasLargeBodyPermit) {
-                    rejectLargeBody(parser.head(), response);
-                    return false;
-                }
-            }
+            reserve(
+                    memory,
+                    REQUEST_BYTES + MEMORY_PER_BYTE * connection.buffer().remaining());
+            HttpConnection.ReadCheck readCheck = bytes -> reserve(memory, MEMORY_PER_BYTE * bytes);
+            connection.receiveBy(parser, completeByNanos, true, readCheck);
             if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
                 connection.send(HttpWriter.response(100).bytes());
             }
-            connection.receiveBy(parser, completeByNanos, false);
+            connection.receiveBy(parser, completeByNanos, false, readCheck);
             if (!enter(Phase.IN_FLIGHT, response)) {
                 response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
                 return false;
             }
-            answerComplete(parser.head(), body, response);
+            answerComplete(parser.head(), body.take(), response, memory);
+        } catch (OutOfBudgetException e) {
+            rejectOutOfBudget(parser, response);
         } catch (HttpException e) {
             // After malformed framing the connection cannot be used further; after an invalid value it can.
             rejectFaulty(response, e.status(), e.getMessage());
         } catch (SocketTimeoutException e) {
             response.plainText(408, "request not whole in time");
         } catch (EOFException e) {
-            if (!closing()) {
+            if (memoryRevoked()) {
+                parser.discard();
+                body.take();
+                memory.release();
+                awaitEndOfReading(completeByNanos);
+            } else if (!closing()) {
                 throw e; // the client has left
             }
             response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
         } finally {
-            if (hasLargeBodyPermit) {
-                context.largeBodyPermits().release();
+            if (!memoryHandedOver) {
+                memory.release();
             }
         }
         return true;
     }
 
-    /** Rejects a request with a large body. The body stays unread, so the connection closes after the response. */
-    private void rejectLargeBody(HttpHead head, ClientResponse response) {
-        String requestClass = head.get("X-Lane");
-        if (context.config().names().place(requestClass) >= 0) {
+    private static void reserve(MemoryBudget.Reservation memory, long bytes) throws OutOfBudgetException {
+        try {
+            if (memory.grow(bytes, MEMORY_WAIT_MS)) {
+                return;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        throw new OutOfBudgetException();
+    }
+
+    /** Rejects a request that there is no memory for. What is unread of it stays unread, and the connection closes. */
+    private void rejectOutOfBudget(HttpParser parser, ClientResponse response) {
+        String requestClass = parser.headDone() ? parser.head().get("X-Lane") : null;
+        if (requestClass != null && context.config().names().place(requestClass) >= 0) {
             response.accepted(requestClass);
         }
         response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
-        linger();
     }
 
-    private void answerComplete(HttpHead head, ByteArrayOutputStream body, ClientResponse response)
+    private void answerComplete(HttpHead head, byte[] body, ClientResponse response, MemoryBudget.Reservation memory)
             throws IOException, InterruptedException {
         long lastByteUs = decisions.nowUs();
         arrivedEarly |= connection.dataWasWaiting();
         if (hasUnexpectedBytes()) {
             failFraming(response);
         } else if (!answerReadiness(head, response)) {
-            accept(new ClientRequest(context, head, body.toByteArray(), lastByteUs), response);
+            ClientRequest request = new ClientRequest(context, head, body, lastByteUs);
+            if (context.hooks().sequencer() != null) {
+                reserve(memory, request.labelBytes());
+            }
+            accept(request, response, memory);
         }
     }
 
@@ -404,7 +475,8 @@
     }
 
     /** Admits the request, runs it on a request thread and watches the client until the response is written. */
-    private void accept(ClientRequest request, ClientResponse response) throws IOException, InterruptedException {
+    private void accept(ClientRequest request, ClientResponse response, MemoryBudget.Reservation memory)
+            throws IOException, InterruptedException {
         if (overLimit || !context.requestPermits().tryAcquire()) {
             response.accepted(request, context.hooks().listener());
             response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
@@ -421,23 +493,25 @@
         consecutiveFaults = 0;
         if (arrivedEarly && connection.peerHasClosed()) { // the watch would detect too late that the client has left
             response.drop();
-            complete(requestId);
+            complete(requestId, memory);
             return;
         }
         // The dispatcher that holds the client's connection records a forwarded request's waiting time.
         response.accepted(
                 request, request.isForwarded() ? null : context.hooks().listener());
         RequestExecution execution = new RequestExecution(context, request, response);
+        memory.setRevocation(response::abandonStalledWrite);
+        memoryHandedOver = true;
         try {
             context.requestThreads().execute(() -> {
                 try {
                     execution.run();
                 } finally {
-                    complete(requestId);
+                    complete(requestId, memory);
                 }
             });
         } catch (RejectedExecutionException | OutOfMemoryError e) { // no thread is available
-            complete(requestId);
+            complete(requestId, memory);
             response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
             return;
         }
@@ -455,7 +529,8 @@
         }
     }
 
-    private void complete(String requestId) {
+    private void complete(String requestId, MemoryBudget.Reservation memory) {
+        memory.release();
         context.recentIds().complete(requestId);
         context.requestPermits().release();
     }
--- a/src/main/java/maplespread/caller/ClientListener.java
+++ b/src/main/java/maplespread/caller/ClientListener.java
@@ -27,6 +27,12 @@
     /** Factor on the idle time of a connection that is not validated, when connections are compared for eviction. */
     private static final int UNVALIDATED_IDLE_FACTOR = 10;
 
+    /**
+     * Idle time in milliseconds up to which a validated connection keeps its place while others can be evicted: a crowd
+     * that connects anew all the time is never idle for long.
+     */
+    private static final long PROTECTED_IDLE_MS = 1000;
+
     private static final int ACCEPT_RETRY_DELAY_MS = 20;
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -142,14 +148,14 @@
         if (connections.size() < context.limits().get().clientConnections()) {
             return true;
         }
-        boolean evicted = evictLongestIdle(1, UNVALIDATED_IDLE_FACTOR);
+        boolean evicted = evictLongestIdle(PROTECTED_IDLE_MS, UNVALIDATED_IDLE_FACTOR);
         for (int i = 0;
                 i < MAX_ROOM_RETRIES && !evicted && connections.stream().anyMatch(ClientConnection::awaitsFirstRequest);
                 i++) {
             sleep(1); // until the bytes that have arrived are read
-            evicted = evictLongestIdle(1, UNVALIDATED_IDLE_FACTOR);
+            evicted = evictLongestIdle(PROTECTED_IDLE_MS, UNVALIDATED_IDLE_FACTOR);
         }
-        return evicted;
+        return evicted || evictLongestIdle(0, 0);
     }
 
     /**
@@ -161,19 +167,21 @@
                 .filter(client -> client.isValidated() && !client.closing())
                 .count();
         if (validatedCount > context.limits().get().servedClientConnections()) {
-            evictLongestIdle(1, 0);
+            evictLongestIdle(0, 0);
         }
     }
 
     /**
      * Evicts the connection idle longest, or the next one if a request has just arrived on it.
      *
+     * @param protectedIdleMs idle time in milliseconds up to which a validated connection is not evicted
+     * @param unvalidatedFactor factor on the idle time of a connection that is not validated; 0 to evict none
      * @return false if no connection can be evicted
      */
-    private boolean evictLongestIdle(int validatedFactor, int unvalidatedFactor) {
-        ClientConnection candidate = findLongestIdle(validatedFactor, unvalidatedFactor);
+    private boolean evictLongestIdle(long protectedIdleMs, int unvalidatedFactor) {
+        ClientConnection candidate = findLongestIdle(protectedIdleMs, unvalidatedFactor);
         while (candidate != null && !candidate.closeNow()) {
-            candidate = findLongestIdle(validatedFactor, unvalidatedFactor);
+            candidate = findLongestIdle(protectedIdleMs, unvalidatedFactor);
         }
         if (candidate != null) {
             context.metrics().connectionEvicted();
@@ -181,13 +189,14 @@
         return candidate != null;
     }
 
-    private ClientConnection findLongestIdle(int validatedFactor, int unvalidatedFactor) {
+    private ClientConnection findLongestIdle(long protectedIdleMs, int unvalidatedFactor) {
         long nowNanos = System.nanoTime();
         ClientConnection longestIdle = null;
         long longestNanos = 0;
         for (ClientConnection client : connections) {
-            long idleNanos = (nowNanos - client.lastActivityNanos())
-                    * (client.isValidated() ? validatedFactor : unvalidatedFactor);
+            long idleNanos = nowNanos - client.lastActivityNanos();
+            idleNanos =
+                    client.isValidated() ? idleNanos - protectedIdleMs * NANOS_PER_MS : idleNanos * unvalidatedFactor;
             if (idleNanos > longestNanos && !client.closing() && client.isEvictable()) {
                 longestIdle = client;
                 longestNanos = idleNanos;
--- a/src/main/java/maplespread/caller/ClientRequest.java
+++ b/src/main/java/maplespread/caller/ClientRequest.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
 import maplespread.config.Config;
 import maplespread.facade.InFlightRequest;
 import maplespread.http.HttpException;
@@ -28,6 +30,21 @@
     private static final List<String> FORWARDED_FIELDS =
             List.of("X-Lane", "X-Org", "X-Estimate", "X-Labels", "X-Entity", "Idempotency-Key");
 
+    /** The names of all header fields that are read, in lower case. */
+    static final Set<String> FIELD_NAMES = Set.of(
+            "x-lane",
+            "x-txn",
+            "x-org",
+            "x-remaining-ms",
+            "x-estimate",
+            "x-labels",
+            "x-entity",
+            "idempotency-key",
+            RequestSequencer.FORWARDED_BY_HEADER.toLowerCase(Locale.ROOT));
+
+    /** Memory in bytes that a label of a sequenced request takes, with its map entry. */
+    private static final long BYTES_PER_LABEL = 128;
+
     /** The request as it is sent to a worker. */
     final WorkerRequest message;
     /** The request as the decision service sees it. */
@@ -36,12 +53,13 @@
     private final Idempotency idempotency;
     private final HttpHead head;
     private final String tenant;
-    private final Map<String, Double> labels;
     /** The number of slots that the request occupies at a worker. */
     private double slots = 1;
     /** The number of memory units that the request occupies at a worker. */
     private double memory;
 
+    private int labelCount;
+
     /**
      * Validates a request.
      *
@@ -63,7 +81,13 @@
         double waitMs = Math.min(
                 checkRemainingMs(), config.settings().classes().get(classIndex).deadlineMs());
         double workMs = number(atMostOne("X-Estimate"), "X-Estimate", Double.NaN) / 1000;
-        labels = readLabels();
+        readLabels((name, value) -> {
+            switch (name.toLowerCase(Locale.ROOT)) {
+                case "slots", "coresneeded", "x1" -> slots = value;
+                case "memory", "ramunits", "x2" -> memory = value;
+                default -> {}
+            }
+        });
         String entity = atMostOne("X-Entity");
         idempotency = config.settings().classes().get(classIndex).idempotency();
         List<String[]> fields = new ArrayList<>();
@@ -129,8 +153,7 @@
     }
 
     /** Reads the labels. Unknown labels are allowed, as the protocol may add some. */
-    private Map<String, Double> readLabels() throws HttpException {
-        Map<String, Double> values = new HashMap<>();
+    private void readLabels(BiConsumer<String, Double> reader) throws HttpException {
         String text = atMostOne("X-Labels");
         for (String label : text == null ? new String[0] : text.split(",")) {
             int equals = label.indexOf('=');
@@ -138,15 +161,14 @@
                 throw new HttpException(400, "malformed X-Labels");
             }
             double value = number(label.substring(equals + 1), "X-Labels", 0);
-            String name = label.substring(0, equals).strip();
-            values.put(name, value);
-            switch (name.toLowerCase(Locale.ROOT)) {
-                case "slots", "coresneeded", "x1" -> slots = value;
-                case "memory", "ramunits", "x2" -> memory = value;
-                default -> {}
-            }
+            reader.accept(label.substring(0, equals).strip(), value);
+            labelCount++;
         }
-        return values;
+    }
+
+    /** Returns the memory in bytes that the labels take while the request is sequenced. */
+    long labelBytes() {
+        return labelCount * BYTES_PER_LABEL;
     }
 
     private static void addField(List<String[]> fields, String name, String value) {
@@ -189,6 +211,12 @@
      * @param nowUs the current time, on {@code DecisionService.nowUs}
      */
     RequestSequencer.SequencedRequest sequenced(long nowUs) {
+        Map<String, Double> labels = new HashMap<>();
+        try {
+            readLabels(labels::put);
+        } catch (HttpException e) {
+            throw new IllegalStateException("the labels were valid before", e);
+        }
         List<String[]> fields = new ArrayList<>();
         for (String name : FORWARDED_FIELDS) {
             if (head.get(name) != null) {
--- a/src/main/java/maplespread/caller/ClientResponse.java
+++ b/src/main/java/maplespread/caller/ClientResponse.java
@@ -17,6 +17,9 @@
  * without effect.
  */
 final class ClientResponse {
+    /** Duration in milliseconds of a write after which its memory may be taken back for others. */
+    private static final long STALLED_WRITE_MS = 250;
+
     private final HttpConnection connection;
     private final BooleanSupplier closesConnection;
     private final Metrics metrics;
@@ -144,6 +147,11 @@
         }
     }
 
+    /** Closes the connection if the client has not read its response for a while; returns whether it was closed. */
+    boolean abandonStalledWrite() {
+        return connection.closeIfWriteStalled(STALLED_WRITE_MS);
+    }
+
     /** Whether the response has been written or dropped. */
     boolean completed() {
         return completion.getCount() == 0;
--- a/src/main/java/maplespread/caller/RequestExecution.java
+++ b/src/main/java/maplespread/caller/RequestExecution.java
@@ -171,12 +171,15 @@
             permit.attemptCompleted(outcome);
             if (outcome == Outcome.SERVED) {
                 permit.release(true); // before the response: the key's next request need not wait for this client
+                result.setRevocation(response::abandonStalledWrite);
                 response.served(result.body);
             }
         } finally {
             decisions.reportAttemptEnded(attempt, outcome, result == null ? null : result.load);
+            if (result != null) {
+                result.finish();
+            }
         }
-        result.finish();
         permitReleased = outcome == Outcome.SERVED;
         return permitReleased;
     }
--- a/src/main/java/maplespread/caller/ServingContext.java
+++ b/src/main/java/maplespread/caller/ServingContext.java
@@ -1,13 +1,13 @@
 package maplespread.caller;
 
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Semaphore;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.DecisionService;
 import maplespread.facade.RequestListener;
+import maplespread.http.MemoryBudget;
 import maplespread.metrics.Metrics;
 import maplespread.worker.AttemptRunner;
 
@@ -24,7 +24,7 @@
         ExecutorService requestThreads,
         Supplier<Config.Limits> limits,
         ConcurrencyLimit requestPermits,
-        Semaphore largeBodyPermits,
+        MemoryBudget memory,
         Metrics metrics,
         ServiceState state,
         RequestHooks hooks) {
@@ -51,11 +51,6 @@
      */
     public record RequestHooks(RecentRequestIds recentIds, RequestListener listener, RequestSequencer sequencer) {}
 
-    /** Length in bytes above which a body needs one of a few permits, so that all bodies together fit the heap. */
-    static final int LARGE_BODY_BYTES = 8 * 1024;
-
-    private static final int MAX_LARGE_BODIES = 48;
-
     /** Creates a context with all permits available. */
     public ServingContext(
             Supplier<Config> currentConfig,
@@ -73,7 +68,7 @@
                 requestThreads,
                 limits,
                 new ConcurrencyLimit(() -> limits.get().requestsInFlight()),
-                new Semaphore(MAX_LARGE_BODIES),
+                attemptRunner.memory(),
                 metrics,
                 state,
                 hooks);
--- a/src/main/java/maplespread/http/HttpConnection.java
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -86,11 +86,22 @@
         receiveBy(parser, System.nanoTime() + limitMs * 1_000_000, false);
     }
 
+    /** Asked before bytes that have been read are parsed. */
+    public interface ReadCheck {
+        /** Throws if there is no room for further bytes of the message. */
+        void check(int bytes) throws IOException;
+    }
+
     /**
      * Reads until the message, or only its head, is complete. The limit applies to the whole message and not to each
      * read, as a peer may send a byte now and then.
      */
     public void receiveBy(HttpParser parser, long endNanos, boolean headOnly) throws IOException {
+        receiveBy(parser, endNanos, headOnly, bytes -> {});
+    }
+
+    /** Reads as {@link #receiveBy(HttpParser, long, boolean)} does, and has each piece checked that it reads. */
+    public void receiveBy(HttpParser parser, long endNanos, boolean headOnly, ReadCheck readCheck) throws IOException {
         while (!parser.feed(buffer) && !(headOnly && parser.headDone())) {
             long remainingMs = (endNanos - System.nanoTime()) / 1_000_000;
             if (remainingMs <= 0) {
@@ -102,6 +113,7 @@
                 }
                 throw new EOFException("connection ended inside a message");
             }
+            readCheck.check(buffer.remaining());
         }
     }
 
@@ -116,11 +128,17 @@
         }
     }
 
-    /** Closes the connection if a write has lasted longer than {@code limitMs}, as when the peer does not read. */
-    public void closeIfWriteStalled(long limitMs) {
-        if (writing && System.nanoTime() - writeStartNanos > limitMs * 1_000_000) {
+    /**
+     * Closes the connection if a write has lasted longer than {@code limitMs}, as when the peer does not read.
+     *
+     * @return whether it was closed
+     */
+    public boolean closeIfWriteStalled(long limitMs) {
+        boolean stalled = writing && System.nanoTime() - writeStartNanos > limitMs * 1_000_000;
+        if (stalled) {
             close();
         }
+        return stalled;
     }
 
     /**
--- a/src/main/java/maplespread/http/HttpParser.java
+++ b/src/main/java/maplespread/http/HttpParser.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Set;
 
 /**
  * Parses one HTTP/1.1 message incrementally, however its bytes are split. Ambiguous framing is an error: if two parties
@@ -30,14 +32,24 @@
         DONE
     }
 
+    /** Fields that the parser itself, or the connection's handling, needs. */
+    private static final Set<String> FRAMING_FIELDS =
+            Set.of("host", "content-length", "transfer-encoding", "connection", "expect");
+
+    /** Maximum number of lines kept of one field: a head of very many short lines would cost many times its bytes. */
+    private static final int MAX_LINES_OF_FIELD = 8;
+
     private final boolean request;
+    /** The names of the fields kept, in lower case; empty: all are kept. */
+    private final Set<String> keptFields;
+
     private final long maxBodyBytes;
     private final Body body;
     /** Whether the bodies of responses other than 200 are delivered too. */
     private boolean deliversErrorBodies;
 
     private final HttpHead head = new HttpHead();
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+    private ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private State state = State.START;
     private int headBytes;
     /** Bytes still to come of the body, or of the chunk. */
@@ -45,8 +57,9 @@
     /** Bytes of the body so far. */
     private long bodyBytes;
 
-    private HttpParser(boolean request, long maxBodyBytes, Body body) {
+    private HttpParser(boolean request, Set<String> keptFields, long maxBodyBytes, Body body) {
         this.request = request;
+        this.keptFields = keptFields;
         this.maxBodyBytes = maxBodyBytes;
         this.body = body;
     }
@@ -58,7 +71,17 @@
 
     /** Creates a parser for a request whose body is bounded by {@code maxBodyBytes} bytes. */
     public static HttpParser request(long maxBodyBytes, Body body) {
-        return new HttpParser(true, maxBodyBytes, body);
+        return new HttpParser(true, Set.of(), maxBodyBytes, body);
+    }
+
+    /**
+     * Creates a parser for a request whose body is bounded by the protocol's limit. All fields are checked, and those
+     * that the caller does not name are not kept.
+     *
+     * @param fieldNames the names of the fields to keep, in lower case, besides those of the message's framing
+     */
+    public static HttpParser request(Set<String> fieldNames, Body body) {
+        return new HttpParser(true, fieldNames, MAX_BODY_BYTES, body);
     }
 
     /**
@@ -67,7 +90,17 @@
      * rejection.
      */
     public static HttpParser response(long maxBodyBytes, Body body) {
-        return new HttpParser(false, maxBodyBytes, body);
+        return new HttpParser(false, Set.of(), maxBodyBytes, body);
+    }
+
+    /**
+     * Creates a parser for a response as {@link #response(long, Body)} does, which keeps the named fields and those of
+     * the framing alone.
+     *
+     * @param fieldNames the names of the fields to keep, in lower case
+     */
+    public static HttpParser response(Set<String> fieldNames, long maxBodyBytes, Body body) {
+        return new HttpParser(false, fieldNames, maxBodyBytes, body);
     }
 
     /** Creates a parser for a response that delivers the bodies of errors too, for peers that describe errors there. */
@@ -81,6 +114,12 @@
         return head;
     }
 
+    /** Forgets what is held of an incomplete message, which cannot be parsed further. */
+    public void discard() {
+        head.fields().clear();
+        line = new ByteArrayOutputStream(0);
+    }
+
     /** Returns the declared length of the body; a value above the limit if the body is chunked. */
     public long bodyLength() {
         return state == State.CHUNK_SIZE ? Long.MAX_VALUE : state == State.FIXED_LENGTH ? remainingBytes : 0;
@@ -239,9 +278,24 @@
         if (colon < 1 || !isToken(text.substring(0, colon))) {
             throw new HttpException(400, "malformed header field"); // or a folded line
         }
-        head.fields().add(new String[] {
-            text.substring(0, colon), text.substring(colon + 1).strip()
-        });
+        String name = text.substring(0, colon);
+        if (isKept(name)) {
+            head.fields().add(new String[] {name, text.substring(colon + 1).strip()});
+        }
+    }
+
+    private boolean isKept(String name) throws HttpException {
+        if (keptFields.isEmpty()) {
+            return true;
+        }
+        String lowerCase = name.toLowerCase(Locale.ROOT);
+        if (!keptFields.contains(lowerCase) && !FRAMING_FIELDS.contains(lowerCase)) {
+            return false;
+        }
+        if (head.count(name) >= MAX_LINES_OF_FIELD) {
+            throw new HttpException(431, name + " stands too often");
+        }
+        return true;
     }
 
     private void parseFraming() throws HttpException {
--- a/src/main/java/maplespread/worker/AttemptResult.java
+++ b/src/main/java/maplespread/worker/AttemptResult.java
@@ -4,6 +4,7 @@
 import maplespread.facade.Outcome;
 import maplespread.facade.WorkerLoad;
 import maplespread.http.HttpParser;
+import maplespread.http.MemoryBudget;
 
 /**
  * The result of an attempt. The thread that ran the attempt calls {@link #finish} once the outcome has been reported.
@@ -19,6 +20,9 @@
     /** The load report that came with the response, or null. */
     public final WorkerLoad load;
 
+    /** The memory of the result; null if there is none. */
+    private final ResponseMemory memory;
+
     private final ConnectionPool pool;
     private final ConnectionPool.PooledConnection connection;
     private final HttpParser parser;
@@ -27,9 +31,11 @@
             Outcome outcome,
             byte[] body,
             WorkerLoad load,
+            ResponseMemory memory,
             ConnectionPool pool,
             ConnectionPool.PooledConnection connection,
             HttpParser parser) {
+        this.memory = memory;
         this.outcome = outcome;
         this.body = body;
         this.load = load;
@@ -40,22 +46,44 @@
 
     /** Returns a result whose connection is not used again. */
     static AttemptResult of(Outcome outcome) {
-        return new AttemptResult(outcome, null, null, null, null, null);
+        return new AttemptResult(outcome, null, null, null, null, null, null);
     }
 
     /** Returns a result whose connection may be used again once its response is complete. */
     static AttemptResult of(
             Outcome outcome,
-            byte[] body,
             WorkerLoad load,
             ConnectionPool pool,
             ConnectionPool.PooledConnection connection,
             HttpParser parser) {
-        return new AttemptResult(outcome, body, load, pool, connection, parser);
+        return new AttemptResult(outcome, null, load, null, pool, connection, parser);
+    }
+
+    /** Returns a result, of a final line, whose memory is released by {@link #finish}. */
+    static AttemptResult of(
+            WorkerStreamReader lines,
+            ResponseMemory memory,
+            ConnectionPool pool,
+            ConnectionPool.PooledConnection connection,
+            HttpParser parser) {
+        return new AttemptResult(lines.outcome, lines.result, lines.load, memory, pool, connection, parser);
+    }
+
+    /** Sets how the wait for the client to read the result is ended early, when others need its memory. */
+    public void setRevocation(MemoryBudget.Revocation revocation) {
+        if (memory != null) {
+            memory.setRevocation(revocation);
+        }
     }
 
-    /** Returns the connection to the pool if the response's final chunk arrives in time, and closes it otherwise. */
+    /**
+     * Releases the memory of the result. Returns the connection to the pool if the response's final chunk arrives in
+     * time, and closes it otherwise.
+     */
     public void finish() {
+        if (memory != null) {
+            memory.release();
+        }
         if (connection == null) {
             return;
         }
--- a/src/main/java/maplespread/worker/AttemptRunner.java
+++ b/src/main/java/maplespread/worker/AttemptRunner.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import maplespread.config.Config;
@@ -15,6 +16,7 @@
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
 import maplespread.http.LineSplitter;
+import maplespread.http.MemoryBudget;
 import maplespread.http.RateLimitedLogger;
 import maplespread.log.Event;
 import maplespread.metrics.Metrics;
@@ -30,23 +32,37 @@
 
     private static final long MAX_RESPONSE_BYTES = 1 << 20;
 
+    private static final Set<String> KEPT_FIELDS = Set.of("x-turned-away", "x-pressure");
+
     private final Supplier<Config> config;
     private final ConnectionPool pool;
     private final DecisionService decisions;
     private final Metrics metrics;
+    private final MemoryBudget memory;
     private final RateLimitedLogger malformedLog = new RateLimitedLogger();
     private final RateLimitedLogger notSentLog = new RateLimitedLogger();
     private final RateLimitedLogger unconfirmedLog = new RateLimitedLogger();
     private final Map<Attempt, RunningAttempt> running = new ConcurrentHashMap<>();
 
     /** Creates a runner that uses the pool's connections and reports progress to the decision service. */
-    public AttemptRunner(Supplier<Config> config, ConnectionPool pool, DecisionService decisions, Metrics metrics) {
+    public AttemptRunner(
+            Supplier<Config> config,
+            ConnectionPool pool,
+            DecisionService decisions,
+            Metrics metrics,
+            MemoryBudget memory) {
+        this.memory = memory;
         this.config = config;
         this.pool = pool;
         this.decisions = decisions;
         this.metrics = metrics;
     }
 
+    /** Returns the budget that the responses of workers are held under. */
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     /** Cancels an attempt by closing its connection; {@link #run} still returns a result. */
     public void cancel(Attempt attempt) {
         RunningAttempt state = running.get(attempt);
@@ -154,10 +170,15 @@
             Attempt attempt, WorkerRequest request, RunningAttempt state, ConnectionPool.PooledConnection connection) {
         WorkerStreamReader lines = new WorkerStreamReader(
                 request.id(), (started, share) -> decisions.reportProgress(attempt, started, share));
-        HttpParser parser = HttpParser.response(MAX_RESPONSE_BYTES, new LineSplitter(MAX_LINE_BYTES, lines::line));
+        LineSplitter splitter = new LineSplitter(MAX_LINE_BYTES, lines::line);
+        HttpParser parser = HttpParser.response(KEPT_FIELDS, MAX_RESPONSE_BYTES, splitter);
         ResponseWait wait = new ResponseWait(attempt);
+        ResponseMemory responseMemory = new ResponseMemory(memory, state::closeSlow);
+        boolean kept = false;
         try {
             while (lines.outcome == null) {
+                responseMemory.reserveFor(
+                        splitter, connection.connection.buffer().remaining(), wait.untilDeadlineMs());
                 boolean complete = parser.feed(connection.connection.buffer());
                 if (parser.headDone() && parser.head().status() != 200) {
                     return rejection(connection, parser);
@@ -165,6 +186,7 @@
                 if (lines.outcome != null) {
                     break;
                 }
+                responseMemory.lineComplete(splitter);
                 if (complete) { // the response ended before its final line
                     pool.close(connection);
                     return AttemptResult.of(Outcome.RESET);
@@ -177,7 +199,11 @@
                     pool.recordUse(connection, false);
                 }
             }
-            return AttemptResult.of(lines.outcome, lines.result, lines.load, pool, connection, parser);
+            kept = lines.result != null;
+            if (kept) {
+                responseMemory.keepResult(lines.result.length);
+            }
+            return AttemptResult.of(lines, responseMemory, pool, connection, parser);
         } catch (SocketTimeoutException e) {
             pool.close(connection);
             return AttemptResult.of(Outcome.TIMED_OUT);
@@ -189,6 +215,10 @@
                 return AttemptResult.of(Outcome.CANCELLED);
             }
             return connectionBroken(connection, wait.received);
+        } finally {
+            if (!kept) {
+                responseMemory.release();
+            }
         }
     }
 
@@ -211,6 +241,10 @@
                     : Long.MAX_VALUE;
         }
 
+        long untilDeadlineMs() {
+            return AttemptRunner.this.remainingMs(attempt);
+        }
+
         long remainingMs() throws SocketTimeoutException {
             long remainingMs = AttemptRunner.this.remainingMs(attempt);
             if (!received) {
@@ -230,7 +264,6 @@
         boolean neverRan = marked && (head.status() == 503 || head.status() == 504);
         return AttemptResult.of(
                 neverRan ? Outcome.REJECTED : Outcome.ERROR,
-                null,
                 WorkerStreamReader.load(head.get("X-Pressure")),
                 pool,
                 connection,
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.facade.Action;
@@ -18,6 +19,8 @@
     /** Maximum size of a response in bytes. */
     private static final int MAX_RESPONSE_BYTES = 16 * 1024;
 
+    private static final Set<String> KEPT_FIELDS = Set.of("x-pressure");
+
     private final Supplier<Config> config;
     private final ConnectionPool pool;
     private final DecisionService decisions;
@@ -41,7 +44,7 @@
             connection.connection.send(
                     HttpWriter.request("GET", "/status/load", probe.address()).bytes());
             ByteArrayOutputStream body = new ByteArrayOutputStream();
-            HttpParser parser = HttpParser.response(MAX_RESPONSE_BYTES, body::write);
+            HttpParser parser = HttpParser.response(KEPT_FIELDS, MAX_RESPONSE_BYTES, body::write);
             connection.connection.receive(parser, config.get().times().probeMs());
             outcome = parser.head().status() == 200 ? Outcome.SERVED : Outcome.ERROR;
             load = WorkerStreamReader.load(body.toString(StandardCharsets.UTF_8));
--- a/src/main/java/maplespread/worker/RunningAttempt.java
+++ b/src/main/java/maplespread/worker/RunningAttempt.java
@@ -23,6 +23,15 @@
         }
     }
 
+    /** Closes the connection, as a sign of a slow worker; false if none is in use. */
+    synchronized boolean closeSlow() {
+        if (connection == null) {
+            return false;
+        }
+        connection.close();
+        return true;
+    }
+
     /** Closes the connection if a write is in progress, as when the worker does not read; reads have time limits. */
     synchronized void closeIfWriteStalled() {
         if (connection != null) {
--- a/src/test/java/maplespread/http/HttpParserTest.java
+++ b/src/test/java/maplespread/http/HttpParserTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.Test;
 
 public class HttpParserTest {
@@ -75,4 +76,21 @@
         assertEquals(List.of("one", "", "two"), got);
         assertThrows(HttpException.class, () -> lines.accept(new byte[20], 0, 20));
     }
+
+    /** Guards the heap: of a head of very many short fields only those are kept that the caller reads, few of each. */
+    @Test
+    public void onlyNamedFieldsAreKept() throws HttpException {
+        HttpParser parser = HttpParser.request(Set.of("x-txn"), (b, at, n) -> {});
+        String head = "GET / HTTP/1.1\r\nHost: t\r\nX-TXN: 1\r\n" + "a:\r\n".repeat(2000) + "Connection: close\r\n\r\n";
+        assertTrue(parser.feed(ByteBuffer.wrap(head.getBytes())));
+        assertEquals(3, parser.head().fields().size());
+        assertEquals("1", parser.head().get("X-Txn"));
+        assertFalse(parser.head().keepsAlive());
+        HttpParser repeated = HttpParser.request(Set.of("x-txn"), (b, at, n) -> {});
+        byte[] lines = ("GET / HTTP/1.1\r\n" + "x-txn:\r\n".repeat(9)).getBytes();
+        assertEquals(
+                431,
+                assertThrows(HttpException.class, () -> repeated.feed(ByteBuffer.wrap(lines)))
+                        .status());
+    }
 }
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -37,6 +37,7 @@
 import maplespread.facade.Outcome;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
+import maplespread.http.MemoryBudget;
 import maplespread.metrics.Metrics;
 import maplespread.net.Loopback.Peer;
 import maplespread.net.Loopback.Site;
@@ -141,7 +142,7 @@
             dispatcher.reportEndpoints(config.cachedEndpoints());
             dispatcher.reportEndpoints(new EndpointUpdate(EndpointUpdate.Kind.DELTA, 1, List.of()));
             ConnectionPool links = new ConnectionPool(() -> config, config::limits, dialer);
-            branches = new AttemptRunner(() -> config, links, dispatcher, figures);
+            branches = new AttemptRunner(() -> config, links, dispatcher, figures, new MemoryBudget(1 << 23));
             Starts counted = new Starts(work -> transactions.accept(() -> {
                 work.run();
                 over.incrementAndGet();
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -30,6 +30,7 @@
 import maplespread.facade.EndpointUpdate;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
+import maplespread.http.MemoryBudget;
 import maplespread.metrics.Metrics;
 import maplespread.net.Loopback.Peer;
 import maplespread.worker.AttemptRunner;
@@ -165,7 +166,7 @@
         ServingContext service = new ServingContext(
                 () -> config,
                 dispatcher,
-                new AttemptRunner(() -> config, links, dispatcher, figures),
+                new AttemptRunner(() -> config, links, dispatcher, figures, new MemoryBudget(1 << 23)),
                 threads,
                 () -> sizes,
                 figures,
