Request ids are kept by time alone, and one connection's floods are bounded

Cause: above 20,000 ids RecentRequestIds forgot all completed ones, so an id came again and ran twice. Empty lines after a request were skipped without end, bodies in tiny chunks cost 0.14 s of processor time, unread bytes were discarded at full speed.

Change: ids are 64-bit hashes in two sets that replace each other by time; a full set refuses (503) and forgets none. Empty lines (64 bytes) and lines between chunks (64 KB) are bounded; discarding pauses.

--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -47,6 +47,10 @@
      */
     private static final long FAULT_DELAY_MS = 25;
 
+    /** Maximum length of the empty lines after a request that are skipped. */
+    private static final int MAX_SKIPPED_BYTES = 64;
+    /** Number of bytes between two pauses while a client's unread bytes are discarded. */
+    private static final int BYTES_PER_PAUSE = 64 * 1024;
     /** Memory in bytes that a request takes beside its bytes. */
     private static final long REQUEST_BYTES = 2048;
     /** Memory taken for each byte of a request: it is kept once, and copied for an attempt. */
@@ -439,14 +443,15 @@
     /**
      * Whether bytes have arrived beyond the request. The protocol allows one request at a time, so either the client
      * floods the connection, or the body has another length than stated and neither part can be trusted. Empty lines
-     * are skipped, as some clients end their bodies with one.
+     * are skipped, as some clients end their bodies with one; without end they are a flood like others.
      */
     private boolean hasUnexpectedBytes() throws IOException {
+        int skipped = 0;
         do {
             ByteBuffer buffer = connection.buffer();
             while (buffer.hasRemaining()) {
                 byte next = buffer.get(buffer.position());
-                if (next != '\r' && next != '\n') {
+                if (next != '\r' && next != '\n' || ++skipped > MAX_SKIPPED_BYTES) {
                     return true;
                 }
                 buffer.get();
@@ -493,7 +498,7 @@
         consecutiveFaults = 0;
         if (arrivedEarly && connection.peerHasClosed()) { // the watch would detect too late that the client has left
             response.drop();
-            complete(requestId, memory);
+            complete(memory);
             return;
         }
         // The dispatcher that holds the client's connection records a forwarded request's waiting time.
@@ -507,11 +512,11 @@
                 try {
                     execution.run();
                 } finally {
-                    complete(requestId, memory);
+                    complete(memory);
                 }
             });
         } catch (RejectedExecutionException | OutOfMemoryError e) { // no thread is available
-            complete(requestId, memory);
+            complete(memory);
             response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
             return;
         }
@@ -529,9 +534,8 @@
         }
     }
 
-    private void complete(String requestId, MemoryBudget.Reservation memory) {
+    private void complete(MemoryBudget.Reservation memory) {
         memory.release();
-        context.recentIds().complete(requestId);
         context.requestPermits().release();
     }
 
@@ -575,8 +579,12 @@
         decisions.reportClientLeft(request);
     }
 
-    /** Discards unread bytes before the connection closes, as they would reset it before the response arrives. */
-    private void linger() {
+    /**
+     * Discards unread bytes before the connection closes, as they would reset it before the response arrives. Pauses
+     * between pieces: a client that sends at full speed must not keep a core from the others.
+     */
+    private void linger() throws InterruptedException {
+        long discarded = 0;
         long endNanos = System.nanoTime() + LINGER_MS * NANOS_PER_MS;
         try {
             for (long nowNanos = System.nanoTime(); nowNanos < endNanos; nowNanos = System.nanoTime()) {
@@ -584,6 +592,11 @@
                 if (!connection.fill((endNanos - nowNanos) / NANOS_PER_MS)) {
                     return;
                 }
+                discarded += connection.buffer().remaining();
+                if (discarded >= BYTES_PER_PAUSE) {
+                    discarded = 0;
+                    Thread.sleep(1);
+                }
             }
         } catch (IOException e) {
             // the client has left or sends nothing more
--- a/src/main/java/maplespread/caller/RecentRequestIds.java
+++ b/src/main/java/maplespread/caller/RecentRequestIds.java
@@ -1,7 +1,10 @@
 package maplespread.caller;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
 import java.util.function.LongSupplier;
 
 /**
@@ -9,6 +12,9 @@
  * another client: it must not reach a worker, and its sender must not receive the result of the first. Clients generate
  * a new id for every request, including retries. While another process of this dispatcher runs, ids are also claimed in
  * a set that the processes share. Thread-safe.
+ *
+ * <p>An id is kept as a 64-bit hash, in one of two sets: the newer one takes new ids, and replaces the older one after a
+ * period. So an id is kept for at least one period, and memory is bounded: a full set takes no more ids, and forgets none.
  */
 public final class RecentRequestIds {
     /** The result of a registration. */
@@ -16,20 +22,21 @@
         REGISTERED,
         /** The id was used before. */
         USED,
-        /** Whether the id was used before cannot be known at present. */
+        /** Whether the id was used before cannot be known, or cannot be recorded, at present. */
         UNAVAILABLE
     }
 
-    /** Number of ids above which completed ids are removed before the end of their retention. */
-    private static final int MAX_IDS = 20_000;
+    /** Time in milliseconds by which a request may complete later than its deadline. */
+    private static final long COMPLETION_MARGIN_MS = 2000;
 
     private static final long NANOS_PER_MS = 1_000_000;
-    private static final Long IN_FLIGHT = Long.MAX_VALUE;
-
-    /** The completion time of each request by its id, on System.nanoTime, or IN_FLIGHT. */
-    private final Map<String, Long> completedNanos = new HashMap<>();
 
     private final LongSupplier retentionMs;
+    private final LongSupplier nanoTime;
+    private final long salt = new SecureRandom().nextLong();
+    private RequestIdHashes newer = new RequestIdHashes(salt);
+    private RequestIdHashes older = new RequestIdHashes(salt);
+    private long newerSinceNanos;
     /** The set shared with other processes; null while this process shares none. */
     private SharedRequestIds shared;
     /** Whether another process may use ids that this process cannot know of. */
@@ -38,10 +45,22 @@
     /**
      * Creates an empty set of ids.
      *
-     * @param retentionMs how long the id of a completed request is kept, in milliseconds
+     * @param retentionMs the longest deadline in milliseconds: how long a request is in flight at most, and how long its
+     *     id is kept after that at least
      */
     public RecentRequestIds(LongSupplier retentionMs) {
+        this(retentionMs, System::nanoTime);
+    }
+
+    RecentRequestIds(LongSupplier retentionMs, LongSupplier nanoTime) {
         this.retentionMs = retentionMs;
+        this.nanoTime = nanoTime;
+        newerSinceNanos = nanoTime.getAsLong();
+    }
+
+    /** Returns how long an id is kept at least, in milliseconds: while in flight, and for the retention after that. */
+    public long periodMs() {
+        return 2 * retentionMs.getAsLong() + COMPLETION_MARGIN_MS;
     }
 
     /**
@@ -53,38 +72,39 @@
         if (otherIdsUnknown && !mayRunTwice) {
             return Registration.UNAVAILABLE;
         }
-        if (completedNanos.putIfAbsent(id, IN_FLIGHT) != null) {
+        long hash = hash(id);
+        if (newer.contains(hash) || older.contains(hash)) {
             return Registration.USED;
         }
-        if (shared == null) {
-            return Registration.REGISTERED;
+        if (newer.isFull()) {
+            return Registration.UNAVAILABLE;
         }
-        SharedRequestIds.Claim claim = shared.claim(id);
+        SharedRequestIds.Claim claim = shared == null ? SharedRequestIds.Claim.CLAIMED : shared.claim(hash);
         if (claim == SharedRequestIds.Claim.CLAIMED) {
+            newer.add(hash);
             return Registration.REGISTERED;
         }
-        completedNanos.remove(id);
         return claim == SharedRequestIds.Claim.USED ? Registration.USED : Registration.UNAVAILABLE;
     }
 
-    /** Records that the request has completed; without effect if its id is no longer registered. */
-    synchronized void complete(String id) {
-        completedNanos.replace(id, System.nanoTime());
-    }
-
     /** Removes the id of a request that was not accepted, so that the client may use the id again. */
     synchronized void unregister(String id) {
-        completedNanos.remove(id);
+        long hash = hash(id);
+        newer.remove(hash);
+        older.remove(hash);
         if (shared != null) {
-            shared.release(id);
+            shared.release(hash);
         }
     }
 
-    /** Removes the ids of requests that completed longer ago than the retention. */
+    /** Forgets the ids that are older than a period. */
     synchronized void removeExpired() {
-        long nowNanos = System.nanoTime();
-        long retentionNanos = completedNanos.size() > MAX_IDS ? 0 : retentionMs.getAsLong() * NANOS_PER_MS;
-        completedNanos.values().removeIf(at -> !at.equals(IN_FLIGHT) && nowNanos - at > retentionNanos);
+        long nowNanos = nanoTime.getAsLong();
+        if (nowNanos - newerSinceNanos >= periodMs() * NANOS_PER_MS) {
+            older = newer;
+            newer = new RequestIdHashes(salt);
+            newerSinceNanos = nowNanos;
+        }
     }
 
     /**
@@ -94,10 +114,12 @@
      * @return false if the set has no room for them; nothing is shared then
      */
     public synchronized boolean shareWith(SharedRequestIds ids) {
-        for (String requestId : completedNanos.keySet()) {
-            if (ids.claim(requestId) == SharedRequestIds.Claim.UNAVAILABLE) {
-                return false;
-            }
+        boolean[] unavailable = new boolean[1];
+        for (RequestIdHashes hashes : new RequestIdHashes[] {newer, older}) {
+            hashes.forEach(hash -> unavailable[0] |= ids.claim(hash) == SharedRequestIds.Claim.UNAVAILABLE);
+        }
+        if (unavailable[0]) {
+            return false;
         }
         shared = ids;
         return true;
@@ -112,4 +134,14 @@
     public synchronized void setOtherIdsUnknown(boolean unknown) {
         otherIdsUnknown = unknown;
     }
+
+    /** A hash for which nobody can find an id that has the hash of a given one. */
+    private static long hash(String id) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(id.getBytes(StandardCharsets.ISO_8859_1));
+            return ByteBuffer.wrap(digest).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
 }
--- a/src/main/java/maplespread/caller/SharedRequestIds.java
+++ b/src/main/java/maplespread/caller/SharedRequestIds.java
@@ -14,9 +14,9 @@
         UNAVAILABLE
     }
 
-    /** Claims an id. */
-    Claim claim(String id);
+    /** Claims the id with this hash. */
+    Claim claim(long hash);
 
-    /** Releases an id, so that it may be used again. */
-    void release(String id);
+    /** Releases the id with this hash, so that it may be used again. */
+    void release(long hash);
 }
--- a/src/main/java/maplespread/feature/RequestIdSharing.java
+++ b/src/main/java/maplespread/feature/RequestIdSharing.java
@@ -1,11 +1,7 @@
 package maplespread.feature;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,9 +18,6 @@
  * accepts no request that must not run twice. Outside an upgrade nothing is shared. Thread-safe.
  */
 final class RequestIdSharing {
-    /** Time in milliseconds by which a request may complete later than its deadline. */
-    private static final long COMPLETION_MARGIN_MS = 2000;
-
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final Path directory;
@@ -46,11 +39,6 @@
         this.instanceLock = instanceLock;
     }
 
-    /** How long an id stays claimed: while its request may be in flight, and for the retention after that. */
-    private long periodMs() {
-        return 2 * longestDeadlineMs() + COMPLETION_MARGIN_MS;
-    }
-
     private long longestDeadlineMs() {
         return context.config().times().longestDeadlineMs();
     }
@@ -65,7 +53,8 @@
         if (!peers.isEmpty()) {
             lastPeerNanos = nowNanos;
             startSharing();
-        } else if (tables != null && nowNanos - lastPeerNanos > periodMs() * NANOS_PER_MS) {
+        } else if (tables != null
+                && nowNanos - lastPeerNanos > context.requestIds().periodMs() * NANOS_PER_MS) {
             stopSharing();
         }
         for (InstanceLock.Peer peer : peers) {
@@ -97,7 +86,7 @@
             return;
         }
         try {
-            SharedIdTables opened = new SharedIdTables(directory, address, this::periodMs);
+            SharedIdTables opened = new SharedIdTables(directory, address, context.requestIds()::periodMs);
             if (!context.requestIds().shareWith(new TableIds(opened))) {
                 rateLimitedLogger.warn("the shared tables have no room for the ids of this process");
                 return;
@@ -136,9 +125,9 @@
         }
 
         @Override
-        public Claim claim(String id) {
+        public Claim claim(long hash) {
             try {
-                return switch (claims.claim(hash(id))) {
+                return switch (claims.claim(hash)) {
                     case CLAIMED -> Claim.CLAIMED;
                     case USED -> Claim.USED;
                     case FULL -> Claim.UNAVAILABLE;
@@ -150,18 +139,8 @@
         }
 
         @Override
-        public void release(String id) {
-            claims.release(hash(id));
-        }
-    }
-
-    /** A hash for which nobody can find an id that has the hash of a given one. */
-    private static long hash(String id) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(id.getBytes(StandardCharsets.ISO_8859_1));
-            return ByteBuffer.wrap(digest).getLong();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
+        public void release(long hash) {
+            claims.release(hash);
         }
     }
 }
--- a/src/main/java/maplespread/http/HttpParser.java
+++ b/src/main/java/maplespread/http/HttpParser.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * Parses one HTTP/1.1 message incrementally, however its bytes are split. Ambiguous framing is an error: if two parties
@@ -19,6 +20,10 @@
     public static final int MAX_HEAD_BYTES = 16 * 1024;
     public static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_CHUNK_LINE_BYTES = 1024;
+    /** Maximum length of all lines between the chunks of a request: what they cost would exceed the body by far. */
+    private static final int MAX_CHUNK_LINES_BYTES = 64 * 1024;
+
+    private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9A-Fa-f]{1,8}");
 
     private enum State {
         START,
@@ -52,6 +57,7 @@
     private ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private State state = State.START;
     private int headBytes;
+    private int chunkLinesBytes;
     /** Bytes still to come of the body, or of the chunk. */
     private long remainingBytes;
     /** Bytes of the body so far. */
@@ -186,6 +192,9 @@
             if (!inHead && line.size() > MAX_CHUNK_LINE_BYTES) {
                 throw new HttpException(400, "chunk size line too long");
             }
+            if (!inHead && request && ++chunkLinesBytes > MAX_CHUNK_LINES_BYTES) {
+                throw new HttpException(400, "chunks too small, or their extensions too long");
+            }
             int size = line.size();
             boolean afterCr = size > 0 && endsWithCr;
             if (next == '\n') {
@@ -332,7 +341,7 @@
     private void parseChunkSize(String text) throws HttpException {
         int semicolon = text.indexOf(';');
         String digits = (semicolon < 0 ? text : text.substring(0, semicolon)).strip();
-        if (!digits.matches("[0-9A-Fa-f]{1,8}")) {
+        if (!CHUNK_SIZE.matcher(digits).matches()) {
             throw new HttpException(400, "malformed chunk size");
         }
         remainingBytes = Long.parseLong(digits, 16);
--- a/src/main/java/maplespread/upgrade/MappedHashTable.java
+++ b/src/main/java/maplespread/upgrade/MappedHashTable.java
@@ -26,9 +26,9 @@
     }
 
     /** Maximum number of hashes in a table: three quarters of its slots. */
-    static final int MAX_HASHES = 96 * 1024;
+    static final int MAX_HASHES = 192 * 1024;
 
-    private static final int SLOTS = 128 * 1024;
+    private static final int SLOTS = 256 * 1024;
     private static final int HEADER_LONGS = 8;
     private static final int FILE_BYTES = (HEADER_LONGS + SLOTS) * Long.BYTES;
     private static final long FORMAT = 0x6d61706c65696431L;
--- a/src/test/java/maplespread/http/HttpParserTest.java
+++ b/src/test/java/maplespread/http/HttpParserTest.java
@@ -93,4 +93,18 @@
                 assertThrows(HttpException.class, () -> repeated.feed(ByteBuffer.wrap(lines)))
                         .status());
     }
+
+    /** Guards the others against bodies in very small chunks, or with long extensions, which cost many times their size. */
+    @Test
+    public void linesBetweenChunksAreBounded() throws Exception {
+        String head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assertTrue(HttpParser.request((b, at, n) -> {}).feed(bytes(head + "4\r\nabcd\r\n".repeat(5000) + "0\r\n\r\n")));
+        for (String chunk : new String[] {"1\r\nx\r\n", "1;" + "e".repeat(1000) + "\r\nx\r\n"}) {
+            ByteBuffer all = bytes(head + chunk.repeat(20_000));
+            HttpParser parser = HttpParser.request((b, at, n) -> {});
+            assertEquals(
+                    400,
+                    assertThrows(HttpException.class, () -> parser.feed(all)).status());
+        }
+    }
 }
--- a/src/test/java/maplespread/net/StoriesTest.java
+++ b/src/test/java/maplespread/net/StoriesTest.java
@@ -300,6 +300,18 @@
         }
     }
 
+    /** Guards the others against a client that sends empty lines without end after a request: it is not skipped for ever. */
+    @Test
+    public void emptyLinesWithoutEndAfterARequestEndItsConnection() throws Exception {
+        try (Peer worker = new Peer(DONE);
+                Loopback here = new Loopback(worker);
+                Client client = here.new Client()) {
+            assertEquals(200, client.status(job("page", "a", 4000) + "\r\n"));
+            assertEquals(400, client.status(job("order", "b", 4000) + "\r\n".repeat(2000)));
+            assertEquals("a", worker.next().id());
+        }
+    }
+
     /** Guards against a dispatcher that serves nobody after a move: what the old address tells is not the new one's word. */
     @Test
     public void aFailedCallAfterAMoveIsFollowedByOthersWhateverTheOldAddressTells() throws Exception {
