A request is not forwarded for a client that left while the connection came up

Cause: PeerForwarder.cancel closes a connection that it knows; while it was being established there was none, and the request was sent for nobody. And in the millisecond in which ClientConnection looks for a close, bytes with the close behind them let the request pass.

Change: run asks just before the first byte; bytes found beside the request end it before it goes to its thread.

--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -501,6 +501,11 @@
             complete(memory);
             return;
         }
+        if (connection.buffer().hasRemaining() && hasUnexpectedBytes()) { // the client's close may be behind them
+            failFraming(response);
+            complete(memory);
+            return;
+        }
         // The dispatcher that holds the client's connection records a forwarded request's waiting time.
         response.accepted(
                 request, request.isForwarded() ? null : context.hooks().listener());
--- a/src/main/java/maplespread/partition/client/RequestForwarding.java
+++ b/src/main/java/maplespread/partition/client/RequestForwarding.java
@@ -31,7 +31,8 @@
                 target.address(),
                 head(request, target),
                 request.sequenced.message().body(),
-                Math.max(1, request.remainingMs()));
+                Math.max(1, request.remainingMs()),
+                () -> request.clientLeft);
         if (request.clientLeft) {
             return Optional.of(new ClientLeft());
         }
--- a/src/main/java/maplespread/worker/PeerForwarder.java
+++ b/src/main/java/maplespread/worker/PeerForwarder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
 
@@ -41,7 +42,10 @@
         this.pool = pool;
     }
 
-    /** Cancels the forwarding of a request whose client has left; the peer detects that its own client has left. */
+    /**
+     * Cancels the forwarding of a request whose client has left; the peer detects that its own client has left. While the
+     * connection is being established, {@code abandoned} of {@link #run} tells of it instead.
+     */
     public void cancel(Object handle) {
         ConnectionPool.PooledConnection connection = running.get(handle);
         if (connection != null) {
@@ -53,8 +57,10 @@
      * Forwards a request and blocks for at most {@code limitMs} milliseconds.
      *
      * @param handle identifies the request for {@link #cancel}
+     * @param abandoned whether the request was cancelled; asked just before its first byte is sent
      */
-    public Result run(Object handle, String address, HttpWriter request, byte[] body, long limitMs) {
+    public Result run(
+            Object handle, String address, HttpWriter request, byte[] body, long limitMs, BooleanSupplier abandoned) {
         long endNanos = System.nanoTime() + limitMs * NANOS_PER_MS;
         ConnectionPool.PooledConnection connection;
         try {
@@ -65,6 +71,10 @@
         running.put(handle, connection);
         boolean reusable = false;
         try {
+            if (abandoned.getAsBoolean()) {
+                reusable = true;
+                return Result.unanswered(Status.NOT_SENT);
+            }
             try {
                 connection.connection.send(request.body(body));
             } catch (IOException e) { // the last byte was not written
