--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -31,8 +31,6 @@
     private static final long DRAINING_POLL_MS = 200;
     /** Time limit in milliseconds for the only request of a connection beyond the limit. */
     private static final long OVER_LIMIT_READ_MS = 200;
-    /** Time limit in milliseconds for discarding the client's unread bytes before the close: enough for 60 MB. */
-    private static final long LINGER_MS = 2000;
     /**
      * Retry-After, in milliseconds, of requests that are rejected without a policy decision because this dispatcher
      * lacks connections, request permits, threads or permits for large bodies. The metrics count no reason for such
@@ -49,8 +47,6 @@
 
     /** Maximum length of the empty lines after a request that are skipped. */
     private static final int MAX_SKIPPED_BYTES = 64;
-    /** Number of bytes between two pauses while a client's unread bytes are discarded. */
-    private static final int BYTES_PER_PAUSE = 64 * 1024;
     /** Memory in bytes that a request takes beside its bytes. */
     private static final long REQUEST_BYTES = 2048;
     /** Memory taken for each byte of a request: it is kept once, and copied for an attempt. */
@@ -282,7 +278,7 @@
         }
         boolean keepOpen = enter(Phase.IDLE, null);
         if (response.closed()) {
-            linger();
+            UnreadBytes.discard(connection);
             return false;
         }
         answeredBefore = true;
@@ -583,28 +579,4 @@
         }
         decisions.reportClientLeft(request);
     }
-
-    /**
-     * Discards unread bytes before the connection closes, as they would reset it before the response arrives. Pauses
-     * between pieces: a client that sends at full speed must not keep a core from the others.
-     */
-    private void linger() throws InterruptedException {
-        long discarded = 0;
-        long endNanos = System.nanoTime() + LINGER_MS * NANOS_PER_MS;
-        try {
-            for (long nowNanos = System.nanoTime(); nowNanos < endNanos; nowNanos = System.nanoTime()) {
-                connection.buffer().position(connection.buffer().limit());
-                if (!connection.fill((endNanos - nowNanos) / NANOS_PER_MS)) {
-                    return;
-                }
-                discarded += connection.buffer().remaining();
-                if (discarded >= BYTES_PER_PAUSE) {
-                    discarded = 0;
-                    Thread.sleep(1);
-                }
-            }
-        } catch (IOException e) {
-            // the client has left or sends nothing more
-        }
-    }
 }
--- a/src/main/java/maplespread/lab/fleet/VirtualFleet.java
+++ b/src/main/java/maplespread/lab/fleet/VirtualFleet.java
@@ -23,6 +23,7 @@
 import maplespread.policy.PolicyRequest;
 import maplespread.policy.PolicySettings;
 import maplespread.policy.RejectionReason;
+import maplespread.policy.ReproducibleMath;
 import maplespread.policy.RequestClass;
 import maplespread.policy.SitePermissions;
 import maplespread.policy.Tenant;
@@ -526,7 +527,7 @@
     }
 
     private double gap(double rate) {
-        return -Math.log(1 - random.nextDouble()) / rate;
+        return -ReproducibleMath.log(1 - random.nextDouble()) / rate;
     }
 
     private void arrive(double rate, double end) {
@@ -541,7 +542,7 @@
         while (t > upTo && tenant < SHARES.length - 1) {
             upTo += SHARES[++tenant];
         }
-        double work = MEAN * Math.exp(0.8 * normal() - 0.32);
+        double work = MEAN * ReproducibleMath.exp(0.8 * normal() - 0.32);
         boolean unsafe = random.nextInt(5) == 0;
         jobs++;
         offered += work;
@@ -555,8 +556,8 @@
     }
 
     private double normal() {
-        double r = Math.sqrt(-2 * Math.log(1 - random.nextDouble()));
-        return r * Math.cos(2 * Math.PI * random.nextDouble());
+        double r = Math.sqrt(-2 * ReproducibleMath.log(1 - random.nextDouble()));
+        return r * ReproducibleMath.cos(2 * Math.PI * random.nextDouble());
     }
 
     /**
--- a/src/main/java/maplespread/lab/partition/OrderingStrategies.java
+++ b/src/main/java/maplespread/lab/partition/OrderingStrategies.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import maplespread.policy.ReproducibleMath;
 
 /**
  * What the ways to keep order over a fleet cost without faults, in virtual microseconds: 20 dispatchers, 5
@@ -87,7 +88,7 @@
         OrderingStrategies w = new OrderingStrategies(way, seed);
         double at = 0;
         for (int i = 0; i < JOBS; i++) {
-            at -= Math.log(1 - w.random.nextDouble()) * 1e6 / jobsAS;
+            at -= ReproducibleMath.log(1 - w.random.nextDouble()) * 1e6 / jobsAS;
             int key = w.random.nextInt(3) == 0 ? 0 : 1 + w.random.nextInt(KEYS);
             w.at(at, () -> w.come(w.new Job(key)));
         }
@@ -118,7 +119,7 @@
     /** One message: 50 us and what the other's threads need, with a tail. */
     private void message(Runnable arrives) {
         messages++;
-        at(now + 50 - Math.log(1 - random.nextDouble()) * 50, arrives);
+        at(now + 50 - ReproducibleMath.log(1 - random.nextDouble()) * 50, arrives);
     }
 
     private void come(Job job) {
@@ -184,7 +185,7 @@
         } else if (!free && job.refused == ELECTORS / 2 + 1) {
             release(job);
             // Longer with each try, at most as long as a job takes.
-            double pause = Math.min(WORK_US, 200 * Math.pow(2, job.tries)) * (0.5 + random.nextDouble());
+            double pause = Math.min(WORK_US, 200 * ReproducibleMath.pow(2, job.tries)) * (0.5 + random.nextDouble());
             at(now + pause, () -> claim(job));
         }
     }
--- a/src/main/java/maplespread/lab/rig/RigClients.java
+++ b/src/main/java/maplespread/lab/rig/RigClients.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpParser;
+import maplespread.policy.ReproducibleMath;
 
 /**
  * Clients behind a plain front: jobs at a steady rate whatever becomes of them, over connections that are
@@ -71,10 +72,10 @@
             if (wait > 0) {
                 TimeUnit.NANOSECONDS.sleep(wait);
             }
-            next += -Math.log(1 - random.nextDouble()) * 1e9 / rate;
+            next += -ReproducibleMath.log(1 - random.nextDouble()) * 1e9 / rate;
             double pick = random.nextDouble();
             int org = pick < Rig.SHARES[0] ? 0 : pick < Rig.SHARES[0] + Rig.SHARES[1] ? 1 : 2;
-            double work = Rig.MEAN_MS * Math.max(0.1, -Math.log(1 - random.nextDouble()));
+            double work = Rig.MEAN_MS * Math.max(0.1, -ReproducibleMath.log(1 - random.nextDouble()));
             boolean order = random.nextInt(5) == 0;
             int first = random.nextInt(rig.dispatchers.size());
             String id = String.format("%x-%x", rig.plan.seed(), ++count);
--- a/src/main/java/maplespread/lab/scale/Slope.java
+++ b/src/main/java/maplespread/lab/scale/Slope.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.DoubleUnaryOperator;
+import maplespread.policy.ReproducibleMath;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
@@ -16,7 +17,7 @@
     public enum Form {
         CONSTANT(n -> 0),
         LINEAR(n -> n),
-        N_LOG_N(n -> n * Math.log(n)),
+        N_LOG_N(n -> n * ReproducibleMath.log(n)),
         QUADRATIC(n -> n * n);
 
         private final DoubleUnaryOperator of;
--- a/src/main/java/maplespread/lab/starvation/DetectorComparison.java
+++ b/src/main/java/maplespread/lab/starvation/DetectorComparison.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import maplespread.lab.Report;
+import maplespread.policy.ReproducibleMath;
 
 /**
  * Ways to tell that a few jobs wait longer than many where some waits are only known in part, each at the
@@ -74,7 +75,7 @@
     }
 
     private static Job job(SplittableRandom random, Harm harm, boolean own) {
-        double wait = -60 * Math.log(1 - random.nextDouble());
+        double wait = -60 * ReproducibleMath.log(1 - random.nextDouble());
         boolean refused = random.nextDouble() < (harm == Harm.REFUSED_FIFTH ? 0.2 : 0.005);
         switch (harm) {
             case TWICE_AS_SLOW -> wait *= 2;
@@ -82,7 +83,7 @@
             case TENTH_VERY_SLOW -> wait += random.nextInt(10) == 0 ? 1500 : 0;
             default -> {}
         }
-        double leaves = harm == Harm.LEAVE_EARLY ? -60 * Math.log(1 - random.nextDouble()) : DEADLINE;
+        double leaves = harm == Harm.LEAVE_EARLY ? -60 * ReproducibleMath.log(1 - random.nextDouble()) : DEADLINE;
         return refused
                 ? new Job(DEADLINE, false, own)
                 : leaves < wait ? new Job(leaves, false, own) : new Job(Math.min(DEADLINE, wait), wait < DEADLINE, own);
--- a/src/main/java/maplespread/lab/starvation/VirtualStarvation.java
+++ b/src/main/java/maplespread/lab/starvation/VirtualStarvation.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import maplespread.policy.ReproducibleMath;
 import maplespread.starvation.FleetLayout;
 import maplespread.starvation.FleetWindow;
 import maplespread.starvation.PriorityBoost;
@@ -115,7 +116,7 @@
         random = new SplittableRandom(plan.seed);
         places = plan.zones * plan.kinds;
         weights = new double[plan.tenants];
-        Arrays.setAll(weights, t -> Math.exp(0.4 * gauss()));
+        Arrays.setAll(weights, t -> ReproducibleMath.exp(0.4 * gauss()));
         double sum = Arrays.stream(weights).sum();
         Arrays.setAll(weights, t -> weights[t] / sum);
         cumulated = weights.clone();
@@ -141,7 +142,7 @@
 
     private double gauss() {
         double turn = 2 * Math.PI * random.nextDouble();
-        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(turn);
+        return Math.sqrt(-2 * ReproducibleMath.log(1 - random.nextDouble())) * ReproducibleMath.cos(turn);
     }
 
     public Result run() {
@@ -332,7 +333,7 @@
     // ------------------------------------------------------------ what the tenants meet
 
     private void second(long fromMs, boolean wrong, WaitRecorder[] waits) {
-        double wave = 1 + 0.2 * Math.sin(fromMs / 1000.0 * 2 * Math.PI / 3600);
+        double wave = 1 + 0.2 * ReproducibleMath.sin(fromMs / 1000.0 * 2 * Math.PI / 3600);
         for (int p = 0; p < places; p++) { // wanders within some seconds
             queue[p] = 0.85 * queue[p] + Math.sqrt(1 - 0.85 * 0.85) * gauss();
         }
@@ -346,7 +347,7 @@
             int d = random.nextInt(plan.dispatchers + 1) % plan.dispatchers; // the first has two parts
             int p = random.nextInt(places);
             int burst = 1 + (random.nextInt(4) == 0 ? random.nextInt(4) : 0);
-            double shared = -Math.log(1 - random.nextDouble());
+            double shared = -ReproducibleMath.log(1 - random.nextDouble());
             for (int i = 0; i < burst; i++, n++) {
                 job(fromMs, wrong, waits[d], t, d, p, shared);
             }
@@ -354,13 +355,13 @@
     }
 
     private void job(long fromMs, boolean wrong, WaitRecorder waits, int t, int d, int p, double shared) {
-        double mine = -Math.log(1 - random.nextDouble());
-        double work = Math.min(1500, 60 * Math.exp(0.8 * gauss()));
+        double mine = -ReproducibleMath.log(1 - random.nextDouble());
+        double work = Math.min(1500, 60 * ReproducibleMath.exp(0.8 * gauss()));
         Case now = wrong && concerns(t, p) ? plan.wrong : Case.FAIR;
         if (now == Case.LONG) {
             work *= 8;
         }
-        double load = Math.exp(0.5 * Math.max(-2, Math.min(2, queue[p])));
+        double load = ReproducibleMath.exp(0.5 * Math.max(-2, Math.min(2, queue[p])));
         double wait = slow[p] * load * 15 * (shared + mine) + work * (slow[p] - 1);
         double refused = 0.002 * load;
         if (wrong && plan.wrong == Case.CROWD && p == place) {
--- a/src/main/java/maplespread/membership/GossipSender.java
+++ b/src/main/java/maplespread/membership/GossipSender.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import maplespread.membership.MemberUpdate.State;
 import maplespread.membership.SwimMessage.Kind;
+import maplespread.policy.ReproducibleMath;
 
 /** Sends messages with the updates that are due to be passed on, or with the whole group. */
 final class GossipSender {
@@ -42,8 +43,8 @@
         if (known != null && known.state() != State.ALIVE) {
             first.add(known); // Lifeguard's buddy system: the sooner a suspect knows, the sooner it can refute
         }
-        int transmissions =
-                (int) Math.ceil(settings.retransmitMultiplier() * Math.max(1, Math.log10(group.size() + 1.0)));
+        int transmissions = (int)
+                Math.ceil(settings.retransmitMultiplier() * Math.max(1, ReproducibleMath.log10(group.size() + 1.0)));
         int gossipBytes = settings.maxPacketBytes() - RESERVED_PACKET_BYTES;
         List<MemberUpdate> updates = queue.take(first, gossipBytes, transmissions);
         transport.send(
--- a/src/main/java/maplespread/membership/Suspicion.java
+++ b/src/main/java/maplespread/membership/Suspicion.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import maplespread.policy.ReproducibleMath;
 
 /**
  * A suspicion that its subject may still refute. Each independent confirmation by another member shortens the time
@@ -36,7 +37,7 @@
      * @param longestMs the time without any
      */
     long endsAt(double shortestMs, double longestMs) {
-        double share = Math.log(reporters.size()) / Math.log(MAX_CONFIRMATIONS + 1);
+        double share = ReproducibleMath.log(reporters.size()) / ReproducibleMath.log(MAX_CONFIRMATIONS + 1);
         return since + (long) Math.max(shortestMs, longestMs - (longestMs - shortestMs) * share);
     }
 }
--- a/src/main/java/maplespread/membership/SwimMembership.java
+++ b/src/main/java/maplespread/membership/SwimMembership.java
@@ -10,6 +10,7 @@
 import maplespread.membership.IndirectProbes.IndirectProbe;
 import maplespread.membership.MemberUpdate.State;
 import maplespread.membership.SwimMessage.Kind;
+import maplespread.policy.ReproducibleMath;
 
 /**
  * The failure detector of one member: SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey
@@ -164,7 +165,7 @@
     }
 
     private long suspicionEndsAt(Suspicion suspicion) {
-        double groupFactor = Math.max(1, Math.log10(group.size()));
+        double groupFactor = Math.max(1, ReproducibleMath.log10(group.size()));
         double shortestMs = settings.suspicionMultiplier() * groupFactor * settings.probePeriodMs();
         return suspicion.endsAt(shortestMs, shortestMs * settings.maxSuspicionStretch());
     }
--- a/src/main/java/maplespread/policy/ArrivalStatistics.java
+++ b/src/main/java/maplespread/policy/ArrivalStatistics.java
@@ -84,7 +84,7 @@
         }
         double kept = Double.isNaN(rateUpdatedAtMs)
                 ? 0
-                : ratePerMs * Math.exp((rateUpdatedAtMs - context.nowMs) / context.memoryMs);
+                : ratePerMs * ReproducibleMath.exp((rateUpdatedAtMs - context.nowMs) / context.memoryMs);
         ratePerMs = kept + 1 / context.memoryMs;
         rateUpdatedAtMs = context.nowMs;
         offerToShadowQueue(request);
@@ -92,7 +92,7 @@
 
     private void assignExpectedWork(PendingRequest request) {
         if (request.workMs > 0) {
-            request.logHint = Math.log(request.workMs);
+            request.logHint = ReproducibleMath.log(request.workMs);
             request.workMs = hints.expectedWorkMs(request.logHint);
             int index = request.classIndex;
             samplesByClass.set(index, Math.min(samplesByClass.get(index) + 1, MAX_CLASS_SAMPLES));
--- a/src/main/java/maplespread/policy/HintCalibration.java
+++ b/src/main/java/maplespread/policy/HintCalibration.java
@@ -39,7 +39,7 @@
     /** Counts a hint, given as its logarithm, and returns the work to expect, ms on a standard core. */
     double expectedWorkMs(double logHint) {
         meanLogHint += (logHint - meanLogHint) / Math.min(++hints, MAX_HINTS);
-        return Math.exp(meanLogHint + slope * (logHint - meanLogHint));
+        return ReproducibleMath.exp(meanLogHint + slope * (logHint - meanLogHint));
     }
 
     /**
@@ -52,7 +52,7 @@
         if (Double.isNaN(logHint) || !(runMs > 0 && runMs < MAX_RUN_MEMORIES * context.memoryMs)) {
             return;
         }
-        double logRunMs = Math.log(runMs);
+        double logRunMs = ReproducibleMath.log(runMs);
         double step = 1 / Math.min(++means.runs, MAX_RUNS);
         double hintOffset = logHint - means.logHint;
         double runOffset = logRunMs - means.logRunMs;
--- a/src/main/java/maplespread/policy/PolicyMath.java
+++ b/src/main/java/maplespread/policy/PolicyMath.java
@@ -9,7 +9,7 @@
 
     static {
         for (int i = 0; i < QUANTILE_COUNT; i++) {
-            EXPONENTIAL_QUANTILES[i] = -Math.log(1 - (i + 0.5) / QUANTILE_COUNT);
+            EXPONENTIAL_QUANTILES[i] = -ReproducibleMath.log(1 - (i + 0.5) / QUANTILE_COUNT);
         }
     }
 
--- a/src/main/java/maplespread/policy/SpeedEstimator.java
+++ b/src/main/java/maplespread/policy/SpeedEstimator.java
@@ -59,7 +59,8 @@
                 elapsedMs * worker.slowStart.capacityShare(),
                 workMs / (MAX_DEVIATION * speed),
                 MAX_DEVIATION * workMs / speed);
-        double keep = remainingMemory() * Math.exp(-timeMs * speed / (MEMORY_REQUESTS * arrivals.meanWorkMs()));
+        double keep =
+                remainingMemory() * ReproducibleMath.exp(-timeMs * speed / (MEMORY_REQUESTS * arrivals.meanWorkMs()));
         learnedAtMs = context.nowMs;
         doneWorkMs = doneWorkMs * keep + workMs;
         runTimeMs = runTimeMs * keep + timeMs;
--- a/src/main/java/maplespread/quota/TenantQuota.java
+++ b/src/main/java/maplespread/quota/TenantQuota.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import maplespread.policy.ReproducibleMath;
 import maplespread.policy.Tenant;
 
 /**
@@ -102,7 +103,7 @@
     }
 
     private void countRequest(double nowMs, int tenant) {
-        double decay = Double.isNaN(ratesAtMs) ? 0 : Math.exp(-(nowMs - ratesAtMs) / RATE_TIME_CONSTANT_MS);
+        double decay = Double.isNaN(ratesAtMs) ? 0 : ReproducibleMath.exp(-(nowMs - ratesAtMs) / RATE_TIME_CONSTANT_MS);
         limitedRate = 0;
         for (int i = 0; i < rates.length; i++) {
             rates[i] = rates[i] * decay + (i == tenant ? MS_PER_SECOND / RATE_TIME_CONSTANT_MS : 0);
--- a/src/main/java/maplespread/starvation/CellCode.java
+++ b/src/main/java/maplespread/starvation/CellCode.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.stream.LongStream;
+import maplespread.policy.ReproducibleMath;
 import org.HdrHistogram.IntCountsHistogram;
 
 /**
@@ -98,6 +99,6 @@
 
     /** The middle of a band, ms; 0 where the work is not known. */
     static double bandMiddleMs(int band) {
-        return band == 0 ? 0 : LOWEST_BAND_MIDDLE_MS * Math.pow(BAND_FACTOR, band - 1);
+        return band == 0 ? 0 : LOWEST_BAND_MIDDLE_MS * ReproducibleMath.pow(BAND_FACTOR, band - 1);
     }
 }
--- a/src/main/java/maplespread/starvation/LogRankComparison.java
+++ b/src/main/java/maplespread/starvation/LogRankComparison.java
@@ -1,7 +1,7 @@
 package maplespread.starvation;
 
 import java.util.Arrays;
-import org.apache.commons.statistics.distribution.GammaDistribution;
+import org.apache.commons.math3.special.Gamma;
 
 /**
  * Compares one group's waits with the others', stratum by stratum, where some waits are censored: only known to
@@ -112,12 +112,14 @@
             return expected <= 0 ? 0 : (expected - observed) / Math.sqrt(expected);
         }
 
-        /** How likely it is by chance to wait so much longer, where the variance is larger by a factor. */
+        /**
+         * How likely it is by chance to wait so much longer, where the variance is larger by a factor. The library computes
+         * it without the machine's own functions, so that it is the same to the last bit everywhere.
+         */
         double pValue(double varianceInflation) {
             return expected <= observed
                     ? 1
-                    : GammaDistribution.of(observed / varianceInflation + 1, 1)
-                            .survivalProbability(expected / varianceInflation);
+                    : Gamma.regularizedGammaQ(observed / varianceInflation + 1, expected / varianceInflation);
         }
     }
 
--- a/src/test/java/maplespread/LayersTest.java
+++ b/src/test/java/maplespread/LayersTest.java
@@ -1,5 +1,9 @@
 package maplespread;
 
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.name;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -152,6 +156,19 @@
                 .check(ALL);
     }
 
+    /** Results that depend on the kind of machine would make decisions, and records of them, differ between machines. */
+    @Test
+    void functionsThatDifferBetweenMachinesAreUsedInOnePlace() {
+        for (String function : List.of(
+                "exp", "log", "pow", "log10", "log1p", "expm1", "sin", "cos", "tan", "asin", "acos", "atan", "atan2",
+                "sinh", "cosh", "tanh", "cbrt", "hypot")) {
+            noClasses()
+                    .should()
+                    .callMethodWhere(target(owner(type(Math.class))).and(target(name(function))))
+                    .check(ALL);
+        }
+    }
+
     @Test
     void endpointSourcesAreReachedByOneInterface() {
         noClasses()
--- a/src/test/java/maplespread/lab/scale/SlopeTest.java
+++ b/src/test/java/maplespread/lab/scale/SlopeTest.java
@@ -10,6 +10,7 @@
 import java.util.function.DoubleUnaryOperator;
 import maplespread.lab.scale.Slope.Form;
 import maplespread.lab.scale.Slope.Point;
+import maplespread.policy.ReproducibleMath;
 import org.junit.jupiter.api.Test;
 
 class SlopeTest {
@@ -28,7 +29,7 @@
     @Test
     void eachFormIsToldByItsResidualsAndPredictsTheSizeHeldOut() {
         DoubleUnaryOperator linear = n -> 40 + 7 * n;
-        DoubleUnaryOperator curved = n -> 40 + 3 * n * Math.log(n);
+        DoubleUnaryOperator curved = n -> 40 + 3 * n * ReproducibleMath.log(n);
         DoubleUnaryOperator quadratic = n -> 40 + 2 * n * n;
         List<DoubleUnaryOperator> figures = List.of(linear, curved, quadratic);
         List<Form> forms = List.of(Form.LINEAR, Form.N_LOG_N, Form.QUADRATIC);
--- a/src/test/java/maplespread/quota/TenantQuotaTest.java
+++ b/src/test/java/maplespread/quota/TenantQuotaTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import maplespread.policy.ReproducibleMath;
 import maplespread.policy.Tenant;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +30,7 @@
             for (int tenant = 0; tenant < rates.length; tenant++) {
                 for (;
                         rates[tenant] > 0 && nextAtMs[tenant] <= nowMs;
-                        nextAtMs[tenant] += -Math.log(1 - random.nextDouble()) * 1000 / rates[tenant]) {
+                        nextAtMs[tenant] += -ReproducibleMath.log(1 - random.nextDouble()) * 1000 / rates[tenant]) {
                     boolean counted = nowMs > 10_000;
                     double weight = quota.weight(nowMs, ++id, tenant, true, dispatchers);
                     assertTrue(weight > 0 && weight <= 1);
--- a/src/test/java/maplespread/starvation/StarvationDetectorTest.java
+++ b/src/test/java/maplespread/starvation/StarvationDetectorTest.java
@@ -9,6 +9,7 @@
 import maplespread.lab.starvation.VirtualStarvation.Case;
 import maplespread.lab.starvation.VirtualStarvation.Plan;
 import maplespread.lab.starvation.VirtualStarvation.Result;
+import maplespread.policy.ReproducibleMath;
 import maplespread.starvation.LogRankComparison.Stratum;
 import maplespread.starvation.LogRankComparison.Sum;
 import maplespread.starvation.Verdict.Kind;
@@ -82,7 +83,7 @@
             WaitHistogram others = new WaitHistogram();
             for (int j = 0; j < 108; j++) {
                 boolean held = random.nextInt(20) == 0;
-                double wait = held ? 2000 : -100 * Math.log(1 - random.nextDouble());
+                double wait = held ? 2000 : -100 * ReproducibleMath.log(1 - random.nextDouble());
                 (j < 8 ? own : others).add(held, CellCode.binFor(wait), 1);
             }
             below += compare(own, others, 1).pValue(1) < 0.001 ? 1 : 0;
@@ -161,7 +162,7 @@
         for (int round = 0; round < 600; round++) {
             for (int burst = 0; burst < 9; burst++) {
                 int tenant = random.nextInt(40);
-                long wait = (long) (-300 * Math.log(1 - random.nextDouble()));
+                long wait = (long) (-300 * ReproducibleMath.log(1 - random.nextDouble()));
                 for (int job = 0; job < 4; job++) {
                     recorder.requestAccepted(0, ++id, tenant, 0, 0, 0);
                     recorder.requestCompleted(wait, id, 0, WaitRecorder.Completion.SERVED);
--- a/src/test/java/maplespread/starvation/StarvationGoldenTest.java
+++ b/src/test/java/maplespread/starvation/StarvationGoldenTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import maplespread.GoldenOutput;
+import maplespread.policy.ReproducibleMath;
 import maplespread.starvation.Verdict.Kind;
 import maplespread.starvation.client.StarvationMonitor;
 import org.junit.jupiter.api.Test;
@@ -153,8 +154,8 @@
             int tenant = random.nextInt(second >= 16 && second < 24 && job % 2 == 0 ? 1 : 12);
             int cls = random.nextInt(2);
             int place = random.nextInt(4);
-            double work = Math.exp(2 + 2 * random.nextDouble()) * (tenant == 7 && second >= 24 ? 40 : 1);
-            double wait = -30 * Math.log(1 - random.nextDouble());
+            double work = ReproducibleMath.exp(2 + 2 * random.nextDouble()) * (tenant == 7 && second >= 24 ? 40 : 1);
+            double wait = -30 * ReproducibleMath.log(1 - random.nextDouble());
             boolean harmed = tenant == 3 && place == 1 && second >= 8 && second < 16;
             wait += harmed ? 700 : 0;
             wait += place == 2 && second >= 32 ? 900 : 0;
