--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -149,11 +149,11 @@
      * them while it has been reading for long: it waits for memory, or its client sends more than others do.
      */
     boolean isEvictable() {
-        if (!connection.pending()) {
-            return phase() == Phase.IDLE || awaitsFirstRequest();
+        if (phase() != Phase.IDLE && !awaitsFirstRequest()) {
+            return false;
         }
         boolean slow = System.nanoTime() - lastActivityNanos > SLOW_READ_MS * NANOS_PER_MS;
-        return slow && awaitsFirstRequest() && phase() == Phase.READING;
+        return !connection.pending() || slow && phase() == Phase.READING;
     }
 
     /** Whether no part of a request has arrived, so that closing the connection loses none. */
--- a/src/main/java/maplespread/caller/ClientListener.java
+++ b/src/main/java/maplespread/caller/ClientListener.java
@@ -190,11 +190,11 @@
     }
 
     private ClientConnection findLongestIdle(long protectedIdleMs, int unvalidatedFactor) {
-        long nowNanos = System.nanoTime();
         ClientConnection longestIdle = null;
         long longestNanos = 0;
         for (ClientConnection client : connections) {
-            long idleNanos = nowNanos - client.lastActivityNanos();
+            long lastActivityNanos = client.lastActivityNanos(); // read before the clock: it may change meanwhile
+            long idleNanos = System.nanoTime() - lastActivityNanos;
             idleNanos =
                     client.isValidated() ? idleNanos - protectedIdleMs * NANOS_PER_MS : idleNanos * unvalidatedFactor;
             if (idleNanos > longestNanos && !client.closing() && client.isEvictable()) {
