A request's body is reserved whole; a connection in use keeps its place beside a crowd

Cause: readers held a part of a body's memory while they waited for more, so small requests found none; and where a crowd's connections could not be evicted, those in use were. With 500 clients that come again at once with half-sent bodies, 30 of 322 of others' requests were closed or refused.

Change: a head reserves what it takes, a body all that it will take before it is read, a wait ends with its connection.

--- a/src/main/java/maplespread/caller/ClientConnection.java
+++ b/src/main/java/maplespread/caller/ClientConnection.java
@@ -14,7 +14,6 @@
 import maplespread.http.HttpHead;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
-import maplespread.http.MemoryBudget;
 import maplespread.http.OutOfBudgetException;
 import org.tinylog.Logger;
 
@@ -23,7 +22,7 @@
  * flight, to detect that the client has left; the request itself runs on another thread ({@link RequestExecution}). The
  * listener, the ticker and the shutdown may close the connection from their own threads.
  */
-final class ClientConnection implements Runnable {
+final class ClientConnection implements Runnable, EvictionPolicy.Candidate {
     private static final long NANOS_PER_MS = 1_000_000;
     /** Interval in milliseconds at which a waiting connection checks whether it should close. */
     private static final long POLL_MS = 1000;
@@ -47,14 +46,8 @@
 
     /** Maximum length of the empty lines after a request that are skipped. */
     private static final int MAX_SKIPPED_BYTES = 64;
-    /** Memory in bytes that a request takes beside its bytes. */
-    private static final long REQUEST_BYTES = 2048;
-    /** Memory taken for each byte of a request: it is kept once, and copied for an attempt. */
-    private static final long MEMORY_PER_BYTE = 2;
     /** Time in milliseconds from which on a request that is still being read is a slow one. */
     private static final long SLOW_READ_MS = 200;
-    /** Time limit in milliseconds for the wait until others release memory. */
-    private static final long MEMORY_WAIT_MS = 250;
 
     /** The connection's phase, for the threads that may close the connection. */
     private enum Phase {
@@ -86,6 +79,8 @@
     private Phase phase = Phase.IDLE;
 
     private boolean answeredBefore;
+    /** The memory of the request being read; null if none was. Guarded by this connection's monitor. */
+    private RequestMemory requestMemory;
     /** Whether the memory of the request being read has been taken back. Guarded by this connection's monitor. */
     private boolean memoryRevoked;
     /** Whether the request's thread releases the memory of the request. */
@@ -110,8 +105,8 @@
 
     // ------------------------------------------------------------ called by other threads
 
-    /** Whether the connection has brought an acceptable request. */
-    boolean isValidated() {
+    @Override
+    public boolean isValidated() {
         return validated;
     }
 
@@ -140,7 +135,8 @@
         return true;
     }
 
-    long lastActivityNanos() {
+    @Override
+    public long lastActivityNanos() {
         return lastActivityNanos;
     }
 
@@ -148,7 +144,8 @@
      * Whether the connection is either idle or reading a request but not validated, and has no unread bytes, or has
      * them while it has been reading for long: it waits for memory, or its client sends more than others do.
      */
-    boolean isEvictable() {
+    @Override
+    public boolean isEvictable() {
         if (phase() != Phase.IDLE && !awaitsFirstRequest()) {
             return false;
         }
@@ -188,6 +185,9 @@
         }
         phase = Phase.CLOSING;
         notifyAll();
+        if (requestMemory != null) {
+            requestMemory.cancel();
+        }
         connection.endReading();
         return true;
     }
@@ -289,27 +289,27 @@
     /** Reads a request and answers it; false if the connection must close at once. */
     private boolean readAndAnswer(HttpParser parser, BodyBuffer body, long completeByNanos, ClientResponse response)
             throws IOException, InterruptedException {
-        MemoryBudget.Reservation memory = context.memory().open(MemoryBudget.Use.REQUEST, this::revokeMemory);
+        RequestMemory memory = openRequestMemory();
         memoryHandedOver = false;
         try {
             if (!enter(Phase.READING, null)) {
                 response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
                 return false;
             }
-            reserve(
-                    memory,
-                    REQUEST_BYTES + MEMORY_PER_BYTE * connection.buffer().remaining());
-            HttpConnection.ReadCheck readCheck = bytes -> reserve(memory, MEMORY_PER_BYTE * bytes);
-            connection.receiveBy(parser, completeByNanos, true, readCheck);
+            memory.reserveHead(parser);
+            connection.receiveHeadBy(parser, completeByNanos, () -> memory.reserveHead(parser));
+            memory.reserveBody(parser);
             if (!parser.done() && parser.head().lists("Expect", "100-continue")) {
                 connection.send(HttpWriter.response(100).bytes());
             }
-            connection.receiveBy(parser, completeByNanos, false, readCheck);
+            connection.receiveBy(parser, completeByNanos);
             if (!enter(Phase.IN_FLIGHT, response)) {
                 response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
                 return false;
             }
-            answerComplete(parser.head(), body.take(), response, memory);
+            byte[] wholeBody = body.take();
+            memory.bodyRead(parser, wholeBody.length);
+            answerComplete(parser.head(), wholeBody, response, memory);
         } catch (OutOfBudgetException e) {
             rejectOutOfBudget(parser, response);
         } catch (HttpException e) {
@@ -335,15 +335,9 @@
         return true;
     }
 
-    private static void reserve(MemoryBudget.Reservation memory, long bytes) throws OutOfBudgetException {
-        try {
-            if (memory.grow(bytes, MEMORY_WAIT_MS)) {
-                return;
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        throw new OutOfBudgetException();
+    private synchronized RequestMemory openRequestMemory() {
+        requestMemory = new RequestMemory(context.memory(), this::revokeMemory);
+        return requestMemory;
     }
 
     /** Rejects a request that there is no memory for. What is unread of it stays unread, and the connection closes. */
@@ -355,7 +349,7 @@
         response.rejected(NO_CAPACITY_RETRY_AFTER_MS);
     }
 
-    private void answerComplete(HttpHead head, byte[] body, ClientResponse response, MemoryBudget.Reservation memory)
+    private void answerComplete(HttpHead head, byte[] body, ClientResponse response, RequestMemory memory)
             throws IOException, InterruptedException {
         long lastByteUs = decisions.nowUs();
         arrivedEarly |= connection.dataWasWaiting();
@@ -364,7 +358,7 @@
         } else if (!answerReadiness(head, response)) {
             ClientRequest request = new ClientRequest(context, head, body, lastByteUs);
             if (context.hooks().sequencer() != null) {
-                reserve(memory, request.labelBytes());
+                memory.reserveMore(request.labelBytes());
             }
             accept(request, response, memory);
         }
@@ -476,7 +470,7 @@
     }
 
     /** Admits the request, runs it on a request thread and watches the client until the response is written. */
-    private void accept(ClientRequest request, ClientResponse response, MemoryBudget.Reservation memory)
+    private void accept(ClientRequest request, ClientResponse response, RequestMemory memory)
             throws IOException, InterruptedException {
         if (overLimit || !context.requestPermits().tryAcquire()) {
             response.accepted(request, context.hooks().listener());
@@ -535,7 +529,7 @@
         }
     }
 
-    private void complete(MemoryBudget.Reservation memory) {
+    private void complete(RequestMemory memory) {
         memory.release();
         context.requestPermits().release();
     }
--- a/src/main/java/maplespread/caller/ClientListener.java
+++ b/src/main/java/maplespread/caller/ClientListener.java
@@ -4,10 +4,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Function;
 import maplespread.http.HttpConnection;
 import org.tinylog.Logger;
 
@@ -24,14 +26,6 @@
 
     /** Maximum number of further eviction attempts, one millisecond apart, while connections have unread bytes. */
     private static final int MAX_ROOM_RETRIES = 5;
-    /** Factor on the idle time of a connection that is not validated, when connections are compared for eviction. */
-    private static final int UNVALIDATED_IDLE_FACTOR = 10;
-
-    /**
-     * Idle time in milliseconds up to which a validated connection keeps its place while others can be evicted: a crowd
-     * that connects anew all the time is never idle for long.
-     */
-    private static final long PROTECTED_IDLE_MS = 1000;
 
     private static final int ACCEPT_RETRY_DELAY_MS = 20;
     private static final long NANOS_PER_MS = 1_000_000;
@@ -43,6 +37,7 @@
     private final ExecutorService overLimitThreads;
 
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
+    private final EvictionPolicy evictionPolicy = new EvictionPolicy(System::nanoTime);
     /** The time at which a validated connection last ended; far in the past if none has. */
     private volatile long lastValidatedEndNanos = System.nanoTime() - Long.MAX_VALUE / 2;
 
@@ -136,11 +131,10 @@
     }
 
     /**
-     * Makes room for one more connection by evicting one that holds no complete request: the one idle longest, where
-     * the idle time of a connection that is not validated counts {@link #UNVALIDATED_IDLE_FACTOR} times. Accepting must
-     * not block: well-behaved clients wait in the same queue as a flood of connections, and their deadlines approach. A
-     * client whose idle validated connection is closed has to connect again; a new client loses its first request,
-     * whose bytes are on their way.
+     * Makes room for one more connection by evicting one that holds no complete request, as {@link EvictionPolicy}
+     * chooses. Accepting must not block: well-behaved clients wait in the same queue as a flood of connections, and their
+     * deadlines approach. A client whose idle validated connection is closed has to connect again; a new client loses
+     * its first request, whose bytes are on their way.
      *
      * @return whether the new connection is within the limit
      */
@@ -148,14 +142,14 @@
         if (connections.size() < context.limits().get().clientConnections()) {
             return true;
         }
-        boolean evicted = evictLongestIdle(PROTECTED_IDLE_MS, UNVALIDATED_IDLE_FACTOR);
+        boolean evicted = evict(evictionPolicy::chooseForNew);
         for (int i = 0;
                 i < MAX_ROOM_RETRIES && !evicted && connections.stream().anyMatch(ClientConnection::awaitsFirstRequest);
                 i++) {
             sleep(1); // until the bytes that have arrived are read
-            evicted = evictLongestIdle(PROTECTED_IDLE_MS, UNVALIDATED_IDLE_FACTOR);
+            evicted = evict(evictionPolicy::chooseForNew);
         }
-        return evicted || evictLongestIdle(0, 0);
+        return evicted;
     }
 
     /**
@@ -167,42 +161,24 @@
                 .filter(client -> client.isValidated() && !client.closing())
                 .count();
         if (validatedCount > context.limits().get().servedClientConnections()) {
-            evictLongestIdle(0, 0);
+            evict(evictionPolicy::chooseValidated);
         }
     }
 
     /**
-     * Evicts the connection idle longest, or the next one if a request has just arrived on it.
+     * Evicts the connection chosen, or the next one if a request has just arrived on it.
      *
-     * @param protectedIdleMs idle time in milliseconds up to which a validated connection is not evicted
-     * @param unvalidatedFactor factor on the idle time of a connection that is not validated; 0 to evict none
      * @return false if no connection can be evicted
      */
-    private boolean evictLongestIdle(long protectedIdleMs, int unvalidatedFactor) {
-        ClientConnection candidate = findLongestIdle(protectedIdleMs, unvalidatedFactor);
-        while (candidate != null && !candidate.closeNow()) {
-            candidate = findLongestIdle(protectedIdleMs, unvalidatedFactor);
+    private boolean evict(Function<Set<ClientConnection>, Optional<ClientConnection>> choice) {
+        Optional<ClientConnection> candidate = choice.apply(connections);
+        while (candidate.isPresent() && !candidate.get().closeNow()) {
+            candidate = choice.apply(connections);
         }
-        if (candidate != null) {
+        if (candidate.isPresent()) {
             context.metrics().connectionEvicted();
         }
-        return candidate != null;
-    }
-
-    private ClientConnection findLongestIdle(long protectedIdleMs, int unvalidatedFactor) {
-        ClientConnection longestIdle = null;
-        long longestNanos = 0;
-        for (ClientConnection client : connections) {
-            long lastActivityNanos = client.lastActivityNanos(); // read before the clock: it may change meanwhile
-            long idleNanos = System.nanoTime() - lastActivityNanos;
-            idleNanos =
-                    client.isValidated() ? idleNanos - protectedIdleMs * NANOS_PER_MS : idleNanos * unvalidatedFactor;
-            if (idleNanos > longestNanos && !client.closing() && client.isEvictable()) {
-                longestIdle = client;
-                longestNanos = idleNanos;
-            }
-        }
-        return longestIdle;
+        return candidate.isPresent();
     }
 
     /** Returns the number of open client connections. */
--- a/src/main/java/maplespread/http/HttpConnection.java
+++ b/src/main/java/maplespread/http/HttpConnection.java
@@ -84,40 +84,50 @@
 
     /** Reads until the message is complete; the limit applies to the whole message. */
     public void receive(HttpParser parser, long limitMs) throws IOException {
-        receiveBy(parser, System.nanoTime() + limitMs * 1_000_000, false);
+        receiveBy(parser, System.nanoTime() + limitMs * 1_000_000);
     }
 
-    /** Asked before bytes that have been read are parsed. */
-    public interface ReadCheck {
-        /** Throws if there is no room for further bytes of the message. */
-        void check(int bytes) throws IOException;
+    /** Asked after each piece of a head. */
+    public interface HeadCheck {
+        /** Throws if there is no room for what has been parsed of the head. */
+        void check() throws IOException;
     }
 
-    /**
-     * Reads until the message, or only its head, is complete. The limit applies to the whole message and not to each
-     * read, as a peer may send a byte now and then.
-     */
-    public void receiveBy(HttpParser parser, long endNanos, boolean headOnly) throws IOException {
-        receiveBy(parser, endNanos, headOnly, bytes -> {});
-    }
-
-    /** Reads as {@link #receiveBy(HttpParser, long, boolean)} does, and has each piece checked that it reads. */
-    public void receiveBy(HttpParser parser, long endNanos, boolean headOnly, ReadCheck readCheck) throws IOException {
-        while (!parser.feed(buffer) && !(headOnly && parser.headDone())) {
-            long remainingMs = (endNanos - System.nanoTime()) / 1_000_000;
-            if (remainingMs <= 0) {
-                throw new SocketTimeoutException("message incomplete within the time limit");
-            }
-            if (!fill(remainingMs)) {
+    /** Reads until the message is complete. The limit applies to the whole message and not to each read. */
+    public void receiveBy(HttpParser parser, long endNanos) throws IOException {
+        while (!parser.feed(buffer)) {
+            if (!fillBy(endNanos)) {
                 if (parser.endsWithClose()) {
                     return;
                 }
                 throw new EOFException("connection ended inside a message");
             }
-            readCheck.check(buffer.remaining());
         }
     }
 
+    /** Reads until the message's head is complete, and leaves what follows it unread or in the buffer. */
+    public void receiveHeadBy(HttpParser parser, long endNanos, HeadCheck headCheck) throws IOException {
+        while (true) {
+            boolean complete = parser.feedHead(buffer);
+            headCheck.check();
+            if (complete) {
+                return;
+            }
+            if (!fillBy(endNanos)) {
+                throw new EOFException("connection ended inside a message");
+            }
+        }
+    }
+
+    /** Waits for bytes until the time, as a peer may send a byte now and then. */
+    private boolean fillBy(long endNanos) throws IOException {
+        long remainingMs = (endNanos - System.nanoTime()) / 1_000_000;
+        if (remainingMs <= 0) {
+            throw new SocketTimeoutException("message incomplete within the time limit");
+        }
+        return fill(remainingMs);
+    }
+
     /**
      * Writes the bytes, a short message with one call, so that head and body are sent together. A long one is written in
      * pieces: each call copies its bytes to memory outside the heap, which all connections share.
--- a/src/main/java/maplespread/http/HttpParser.java
+++ b/src/main/java/maplespread/http/HttpParser.java
@@ -44,6 +44,9 @@
     /** Maximum number of lines kept of one field: a head of very many short lines would cost many times its bytes. */
     private static final int MAX_LINES_OF_FIELD = 8;
 
+    /** Memory that a kept field takes beside its characters: two strings and an array. */
+    private static final int FIELD_MEMORY_BYTES = 128;
+
     private final boolean request;
     /** The names of the fields kept, in lower case; empty: all are kept. */
     private final Set<String> keptFields;
@@ -58,6 +61,7 @@
     private State state = State.START;
     private int headBytes;
     private int chunkLinesBytes;
+    private long keptMemoryBytes;
     /** Bytes still to come of the body, or of the chunk. */
     private long remainingBytes;
     /** Bytes of the body so far. */
@@ -144,9 +148,25 @@
         return state == State.UNTIL_CLOSE;
     }
 
+    /** Returns the memory in bytes that the head takes so far: the fields kept, and the line being read. */
+    public long headMemoryBytes() {
+        return keptMemoryBytes + 2L * line.size();
+    }
+
     /** Consumes the buffer up to the end of the message; true once the message is complete. */
     public boolean feed(ByteBuffer in) throws HttpException {
-        while (state != State.DONE && in.hasRemaining()) {
+        return feed(in, State.DONE);
+    }
+
+    /** Consumes the buffer up to the end of the head; true once the head is complete. */
+    public boolean feedHead(ByteBuffer in) throws HttpException {
+        feed(in, State.FIXED_LENGTH);
+        return headDone();
+    }
+
+    /** Consumes the buffer until a state is reached that is not before {@code end}; returns whether it is. */
+    private boolean feed(ByteBuffer in, State end) throws HttpException {
+        while (state.ordinal() < end.ordinal() && in.hasRemaining()) {
             switch (state) {
                 case FIXED_LENGTH, CHUNK, UNTIL_CLOSE -> readBody(in);
                 default -> {
@@ -158,7 +178,7 @@
                 }
             }
         }
-        return state == State.DONE;
+        return state.ordinal() >= end.ordinal();
     }
 
     private void readBody(ByteBuffer in) throws HttpException {
@@ -264,6 +284,7 @@
         parseVersion(parts[2]);
         head.method = parts[0];
         head.target = parts[1];
+        keptMemoryBytes += text.length();
     }
 
     private void parseStatusLine(String text) throws HttpException {
@@ -290,6 +311,7 @@
         String name = text.substring(0, colon);
         if (isKept(name)) {
             head.fields().add(new String[] {name, text.substring(colon + 1).strip()});
+            keptMemoryBytes += FIELD_MEMORY_BYTES + text.length();
         }
     }
 
--- a/src/main/java/maplespread/http/MemoryBudget.java
+++ b/src/main/java/maplespread/http/MemoryBudget.java
@@ -1,6 +1,8 @@
 package maplespread.http;
 
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -41,7 +43,7 @@
     private static final long REVOKE_INTERVAL_MS = 10;
 
     /** Size up to which a request is small: it does not wait for memory that large ones may hold. */
-    private static final long SMALL_REQUEST_BYTES = 16 * 1024;
+    private static final long SMALL_REQUEST_BYTES = 8 * 1024;
 
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -62,12 +64,18 @@
         private long bytes;
         private long sinceNanos;
         private volatile Revocation revocation;
+        private volatile boolean cancelled;
 
         private Reservation(Use use, Revocation revocation) {
             this.use = use;
             this.revocation = revocation;
         }
 
+        /** Returns the bytes reserved. */
+        public long bytes() {
+            return bytes;
+        }
+
         /** Sets how the work is ended early from now on. */
         public void setRevocation(Revocation next) {
             revocation = next;
@@ -82,7 +90,7 @@
             long endNanos = System.nanoTime() + maxWaitMs * NANOS_PER_MS;
             while (!tryGrow(this, more)) {
                 long leftMs = (endNanos - System.nanoTime()) / NANOS_PER_MS;
-                if (leftMs <= 0) {
+                if (leftMs <= 0 || cancelled) {
                     return false;
                 }
                 revokeLongestHeld(this);
@@ -91,6 +99,22 @@
             return true;
         }
 
+        /** Ends a wait for further bytes, which are then not reserved. Called by any thread. */
+        public void cancel() {
+            cancelled = true;
+            wakeWaiting();
+        }
+
+        /**
+         * Reserves as many bytes as are missing up to {@code total}; waits for them for at most {@code maxWaitMs}
+         * milliseconds.
+         *
+         * @return false if they are not available; nothing more is reserved then
+         */
+        public boolean growTo(long total, long maxWaitMs) throws InterruptedException {
+            return total <= bytes || grow(total - bytes, maxWaitMs);
+        }
+
         /** Releases all but {@code kept} bytes. */
         public void shrinkTo(long kept) {
             shrink(this, kept);
@@ -155,6 +179,10 @@
         notifyAll();
     }
 
+    private synchronized void wakeWaiting() {
+        notifyAll();
+    }
+
     private synchronized void awaitRelease(long waitMs, Reservation reservation, long more)
             throws InterruptedException {
         if (!fits(reservation, more)) {
@@ -164,19 +192,20 @@
 
     /** Revokes the reservation held longest, of those that can be revoked, unless it is the caller's or a new one. */
     private void revokeLongestHeld(Reservation caller) {
-        for (Reservation candidate : slowHolders()) {
-            if (candidate != caller && candidate.revocation.revoke()) {
+        for (Reservation candidate : slowHolders(caller)) {
+            if (candidate.revocation.revoke()) {
                 candidate.revocation = NEVER; // it is ending
                 return;
             }
         }
     }
 
-    private synchronized Set<Reservation> slowHolders() {
+    private synchronized List<Reservation> slowHolders(Reservation caller) {
         long nowNanos = System.nanoTime();
-        Set<Reservation> slow = new LinkedHashSet<>();
+        List<Reservation> slow = new ArrayList<>();
         for (Reservation reservation : holding) {
-            if (nowNanos - reservation.sinceNanos >= reservation.use.minHoldMs * NANOS_PER_MS) {
+            boolean isSlow = nowNanos - reservation.sinceNanos >= reservation.use.minHoldMs * NANOS_PER_MS;
+            if (isSlow && reservation != caller && reservation.revocation != NEVER) {
                 slow.add(reservation);
             }
         }
--- a/src/main/java/maplespread/registry/client/RegistryConnection.java
+++ b/src/main/java/maplespread/registry/client/RegistryConnection.java
@@ -103,7 +103,7 @@
         HttpParser parser = HttpParser.responseOrError(MAX_ANSWER_BYTES, body::write);
         try {
             send(address, request);
-            connection.receiveBy(parser, TimeUnit.MILLISECONDS.toNanos(dueAtMs), false);
+            connection.receiveBy(parser, TimeUnit.MILLISECONDS.toNanos(dueAtMs));
             usedAtNanos = System.nanoTime();
             keepOrClose(parser);
         } catch (IOException e) {
--- a/src/main/java/maplespread/worker/PeerForwarder.java
+++ b/src/main/java/maplespread/worker/PeerForwarder.java
@@ -84,7 +84,7 @@
             ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
             HttpParser parser = HttpParser.responseOrError(MAX_RESPONSE_BYTES, responseBody::write);
             try {
-                connection.connection.receiveBy(parser, endNanos, false);
+                connection.connection.receiveBy(parser, endNanos);
             } catch (IOException e) {
                 pool.recordUse(connection, !parser.headDone());
                 return Result.unanswered(Status.LOST);
--- a/src/test/java/maplespread/net/SlowClientsTest.java
+++ b/src/test/java/maplespread/net/SlowClientsTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import maplespread.Program;
@@ -167,6 +168,43 @@
         }
     }
 
+    /** The same from clients that come again at once when they are sent away, more than there are places. */
+    @Test
+    void clientsThatComeAgainAtOnceCostTheOthersNothing() throws Exception {
+        String[] unfinished = {
+            "POST /order/x HTTP/1.1\r\nHost: t\r\n" + "a: b\r\n".repeat(2000),
+            job("order", "half", 4000).replace("Content-Length: 4", "Content-Length: 60000") + "x".repeat(59_000),
+            "POST /order/" + "x".repeat(16_000)
+        };
+        AtomicBoolean over = new AtomicBoolean();
+        try (HttpConnection other = connect()) {
+            assertEquals(200, order(other, "before"));
+            for (int i = 0; i < SLOW_CLIENTS; i++) {
+                byte[] text = unfinished[i % unfinished.length].getBytes();
+                Loopback.daemon(() -> comeAgain(text, over));
+            }
+            for (int i = 0; i < 200; i++) {
+                assertEquals(200, order(other, "beside-" + i));
+            }
+        } finally {
+            over.set(true);
+        }
+        assertNoMemoryFault();
+    }
+
+    private void comeAgain(byte[] text, AtomicBoolean over) {
+        while (!over.get()) {
+            try (HttpConnection connection = connect()) {
+                connection.send(text);
+                while (connection.fill(Loopback.LIMIT_MS)) {
+                    connection.buffer().position(connection.buffer().limit());
+                }
+            } catch (IOException e) {
+                // sent away: it comes again
+            }
+        }
+    }
+
     private static int order(HttpConnection connection, String id) throws IOException {
         connection.send(job("order", id, 4000).getBytes());
         return status(connection);
