Sharing of request ids: the wait ends with the start's time, and a failed publication is repeated

Found by reading: a process waited 2 s for the other's ids after up to 4.5 s for the list, beyond the 6 s in which it is to say yes; a publication that failed was never repeated; the ticker and the start could apply an older look at the processes.

Change: 2 s from the start; the look is taken under the lock; parts are passed in, so that RequestIdSharingTest drives them on a clock of its own: killed and starting processes, missing tables, the end of sharing and what starts in it.

Measured: RequestIdSharingTest and UpgradeIdsTest pass.

--- a/src/main/java/maplespread/feature/RequestIdSharing.java
+++ b/src/main/java/maplespread/feature/RequestIdSharing.java
@@ -1,10 +1,12 @@
 package maplespread.feature;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import maplespread.caller.RecentRequestIds;
 import maplespread.caller.SharedRequestIds;
 import maplespread.http.RateLimitedLogger;
 import maplespread.upgrade.InstanceLock;
@@ -20,41 +22,59 @@
 final class RequestIdSharing {
     private static final long NANOS_PER_MS = 1_000_000;
 
-    private final Path directory;
-    private final String address;
-    private final FeatureContext context;
+    /** What is known of the other processes. */
+    record PeerState(boolean hasPeer, boolean idsKnown) {}
+
+    /** Opens the shared tables. */
+    interface TablesOpener {
+        SharedIdTables open() throws IOException;
+    }
+
     private final InstanceLock instanceLock;
+    private final TablesOpener opener;
+    private final RecentRequestIds ownIds;
+    private final LongSupplier longestDeadlineMs;
+    private final BooleanSupplier accepting;
+    private final LongSupplier nanoTime;
     private final RateLimitedLogger rateLimitedLogger = new RateLimitedLogger();
     /** When each process whose ids are not known was last seen, on System.nanoTime. */
     private final Map<String, Long> unknownPeers = new HashMap<>();
     /** The shared tables; null while nothing is shared. */
     private SharedIdTables tables;
+    /** Whether the other processes can read that this one shares its ids. */
+    private boolean published;
 
     private long lastPeerNanos;
 
-    RequestIdSharing(Path directory, String address, FeatureContext context, InstanceLock instanceLock) {
-        this.directory = directory;
-        this.address = address;
-        this.context = context;
-        this.instanceLock = instanceLock;
-    }
-
-    private long longestDeadlineMs() {
-        return context.config().times().longestDeadlineMs();
-    }
-
     /**
-     * Takes note of the processes that run now.
+     * Shares nothing yet.
      *
-     * @return whether the ids of all other processes are known
+     * @param longestDeadlineMs the longest deadline in milliseconds, evaluated at each use
+     * @param accepting whether this process accepts requests
      */
-    synchronized boolean update(List<InstanceLock.Peer> peers) {
-        long nowNanos = System.nanoTime();
+    RequestIdSharing(
+            InstanceLock instanceLock,
+            TablesOpener opener,
+            RecentRequestIds ownIds,
+            LongSupplier longestDeadlineMs,
+            BooleanSupplier accepting,
+            LongSupplier nanoTime) {
+        this.instanceLock = instanceLock;
+        this.opener = opener;
+        this.ownIds = ownIds;
+        this.longestDeadlineMs = longestDeadlineMs;
+        this.accepting = accepting;
+        this.nanoTime = nanoTime;
+    }
+
+    /** Looks which other processes run now, and starts or stops sharing. */
+    synchronized PeerState update() {
+        List<InstanceLock.Peer> peers = instanceLock.peers();
+        long nowNanos = nanoTime.getAsLong();
         if (!peers.isEmpty()) {
             lastPeerNanos = nowNanos;
             startSharing();
-        } else if (tables != null
-                && nowNanos - lastPeerNanos > context.requestIds().periodMs() * NANOS_PER_MS) {
+        } else if (tables != null && nowNanos - lastPeerNanos > ownIds.periodMs() * NANOS_PER_MS) {
             stopSharing();
         }
         for (InstanceLock.Peer peer : peers) {
@@ -64,13 +84,13 @@
                 unknownPeers.put(peer.name(), nowNanos);
             }
         }
-        unknownPeers.values().removeIf(seen -> nowNanos - seen > longestDeadlineMs() * NANOS_PER_MS);
+        unknownPeers.values().removeIf(seen -> nowNanos - seen > longestDeadlineMs.getAsLong() * NANOS_PER_MS);
         if (tables != null) {
             tables.maintain();
         }
         boolean unknown = !unknownPeers.isEmpty() || !peers.isEmpty() && tables == null;
-        context.requestIds().setOtherIdsUnknown(unknown);
-        return !unknown;
+        ownIds.setOtherIdsUnknown(unknown);
+        return new PeerState(!peers.isEmpty(), !unknown);
     }
 
     /**
@@ -78,22 +98,24 @@
      * starts while this one is in service finds this one's record, and shares its ids before it accepts requests.
      */
     private boolean mayAcceptUnseen(InstanceLock.Peer peer) {
-        return peer.phase() != InstanceRecord.Phase.STARTING || !context.isAccepting();
+        return peer.phase() != InstanceRecord.Phase.STARTING || !accepting.getAsBoolean();
     }
 
     private void startSharing() {
-        if (tables != null) {
-            return;
-        }
         try {
-            SharedIdTables opened = new SharedIdTables(directory, address, context.requestIds()::periodMs);
-            if (!context.requestIds().shareWith(new TableIds(opened))) {
-                rateLimitedLogger.warn("the shared tables have no room for the ids of this process");
-                return;
+            if (tables == null) {
+                SharedIdTables opened = opener.open();
+                if (!ownIds.shareWith(new TableIds(opened))) {
+                    rateLimitedLogger.warn("the shared tables have no room for the ids of this process");
+                    return;
+                }
+                tables = opened;
+                Logger.info("request ids are shared with the other process of this dispatcher");
+            }
+            if (!published) {
+                instanceLock.publishSharing(true);
+                published = true;
             }
-            tables = opened;
-            instanceLock.publishSharing(true);
-            Logger.info("request ids are shared with the other process of this dispatcher");
         } catch (IOException e) {
             rateLimitedLogger.warn("cannot share request ids with the other process of this dispatcher: " + e);
         }
@@ -103,17 +125,16 @@
     private void stopSharing() {
         try {
             instanceLock.publishSharing(false);
-            if (instanceLock.hasPeer()) {
-                instanceLock.publishSharing(true);
-                return;
-            }
+            published = false;
         } catch (IOException e) {
             rateLimitedLogger.warn("cannot publish that request ids are no longer shared: " + e);
             return;
         }
-        context.requestIds().stopSharing();
-        tables = null;
-        Logger.info("request ids are no longer shared");
+        if (!instanceLock.hasPeer()) { // otherwise the next update publishes it again
+            ownIds.stopSharing();
+            tables = null;
+            Logger.info("request ids are no longer shared");
+        }
     }
 
     /** Claims ids in the tables by their hashes. */
--- a/src/main/java/maplespread/feature/UpgradeFeature.java
+++ b/src/main/java/maplespread/feature/UpgradeFeature.java
@@ -1,12 +1,13 @@
 package maplespread.feature;
 
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
+import maplespread.caller.RecentRequestIds;
 import maplespread.config.Config;
 import maplespread.policy.PolicySettings;
 import maplespread.upgrade.InstanceLock;
 import maplespread.upgrade.InstanceRecord;
+import maplespread.upgrade.SharedIdTables;
 import org.tinylog.Logger;
 
 /**
@@ -14,7 +15,7 @@
  * share out.
  */
 final class UpgradeFeature implements Feature {
-    /** Time in milliseconds that a process that starts waits for the request ids of the one it replaces. */
+    /** Time in milliseconds from its start that a process waits for the request ids of the one it replaces. */
     private static final long MAX_PEER_WAIT_MS = 2000;
 
     private static final long PEER_POLL_MS = 20;
@@ -27,6 +28,7 @@
     private RequestIdSharing idSharing;
 
     private volatile boolean hasPeerProcess;
+    private long startedNanos;
 
     UpgradeFeature(Config config, FeatureContext context) {
         this.config = config;
@@ -35,24 +37,32 @@
 
     @Override
     public void start() {
+        startedNanos = System.nanoTime();
         InetSocketAddress listen = config.listen();
         String address = listen.getAddress().getHostAddress() + ':' + listen.getPort();
         instanceLock = InstanceLock.acquire(config.tmp(), address).orElse(null);
         if (instanceLock != null) {
-            idSharing = new RequestIdSharing(config.tmp(), address, context, instanceLock);
+            RecentRequestIds ids = context.requestIds();
+            idSharing = new RequestIdSharing(
+                    instanceLock,
+                    () -> new SharedIdTables(config.tmp(), address, ids::periodMs),
+                    ids,
+                    () -> context.config().times().longestDeadlineMs(),
+                    context::isAccepting,
+                    System::nanoTime);
         }
         maintain();
     }
 
-    /** Waits until the other processes share their request ids, at most for {@link #MAX_PEER_WAIT_MS}. */
+    /** Waits until the other processes share their request ids, until {@link #MAX_PEER_WAIT_MS} after the start. */
     @Override
     public void beforeServing() throws InterruptedException {
         if (idSharing == null) {
             return;
         }
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_PEER_WAIT_MS);
-        while (!idSharing.update(instanceLock.peers())) {
-            if (System.nanoTime() > endNanos) {
+        long endNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(MAX_PEER_WAIT_MS);
+        while (!idSharing.update().idsKnown()) {
+            if (System.nanoTime() - endNanos > 0) {
                 Logger.warn(
                         "another process of this dispatcher has not shared its request ids within {} ms; "
                                 + "rejecting requests that must not run twice until it has",
@@ -65,11 +75,7 @@
 
     @Override
     public void maintain() {
-        List<InstanceLock.Peer> peers = instanceLock == null ? List.of() : instanceLock.peers();
-        if (idSharing != null) {
-            idSharing.update(peers);
-        }
-        boolean hasPeer = !peers.isEmpty();
+        boolean hasPeer = idSharing != null && idSharing.update().hasPeer();
         if (hasPeer != hasPeerProcess) {
             hasPeerProcess = hasPeer;
             context.reapplySettings();
