Request ids are kept in a library's set; the memory budget is passed beside the other hooks

RequestIdHashes did what HPPC's LongHashSet does. AttemptRunner handed its budget to the clients' side; now both get it. A stand-in threw where it can answer, and a story's set-up stood twice.

--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -102,6 +102,7 @@
     private final EndpointSourceSwitch endpointSource;
     private final EndpointListener endpointListener;
     private final Features features;
+    private final MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUDGET);
     private final RecentRequestIds recentIds =
             new RecentRequestIds(() -> config().times().longestDeadlineMs());
     private volatile Consumer<EndpointUpdate> endpointObserver = update -> {};
@@ -147,7 +148,6 @@
         probes = daemonThreads("probe", config.limits().probes());
         decisions = new DecisionService(config.settings(), config.seed(), operator.fair());
         connectionPool = new ConnectionPool(this::config, this::presentLimits);
-        MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUDGET);
         attemptRunner = new AttemptRunner(this::config, connectionPool, decisions, metrics, memory);
         metrics.showClasses(config.names().classes());
         prober = new Prober(this::config, connectionPool, decisions);
@@ -289,7 +289,8 @@
                         endpointSource::notReadyReason,
                         lifecycle::closingConnections,
                         () -> shutdownDeadlineUs),
-                new ServingContext.RequestHooks(recentIds, features.requestListener(), features.requestSequencer()));
+                new ServingContext.RequestHooks(
+                        recentIds, memory, features.requestListener(), features.requestSequencer()));
         listener = new ClientListener(
                 socket,
                 service,
--- a/src/main/java/maplespread/caller/RecentRequestIds.java
+++ b/src/main/java/maplespread/caller/RecentRequestIds.java
@@ -1,10 +1,13 @@
 package maplespread.caller;
 
+import com.carrotsearch.hppc.LongHashSet;
+import com.carrotsearch.hppc.cursors.LongCursor;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.function.LongSupplier;
 
 /**
@@ -26,6 +29,9 @@
         UNAVAILABLE
     }
 
+    /** Maximum number of ids in a set. */
+    static final int MAX_IDS = 96_000;
+
     /** Time in milliseconds by which a request may complete later than its deadline. */
     private static final long COMPLETION_MARGIN_MS = 2000;
 
@@ -33,9 +39,13 @@
 
     private final LongSupplier retentionMs;
     private final LongSupplier nanoTime;
+    /** Keeps clients from choosing ids whose hashes share their places in a set. */
     private final long salt = new SecureRandom().nextLong();
-    private RequestIdHashes newer = new RequestIdHashes(salt);
-    private RequestIdHashes older = new RequestIdHashes(salt);
+    /** The salted hashes of the newer ids. */
+    private LongHashSet newer = new LongHashSet();
+    /** The salted hashes of the older ids. */
+    private LongHashSet older = new LongHashSet();
+
     private long newerSinceNanos;
     /** The set shared with other processes; null while this process shares none. */
     private SharedRequestIds shared;
@@ -73,15 +83,16 @@
             return Registration.UNAVAILABLE;
         }
         long hash = hash(id);
-        if (newer.contains(hash) || older.contains(hash)) {
+        long salted = hash ^ salt;
+        if (newer.contains(salted) || older.contains(salted)) {
             return Registration.USED;
         }
-        if (newer.isFull()) {
+        if (newer.size() >= MAX_IDS) {
             return Registration.UNAVAILABLE;
         }
         SharedRequestIds.Claim claim = shared == null ? SharedRequestIds.Claim.CLAIMED : shared.claim(hash);
         if (claim == SharedRequestIds.Claim.CLAIMED) {
-            newer.add(hash);
+            newer.add(salted);
             return Registration.REGISTERED;
         }
         return claim == SharedRequestIds.Claim.USED ? Registration.USED : Registration.UNAVAILABLE;
@@ -90,8 +101,8 @@
     /** Removes the id of a request that was not accepted, so that the client may use the id again. */
     synchronized void unregister(String id) {
         long hash = hash(id);
-        newer.remove(hash);
-        older.remove(hash);
+        newer.remove(hash ^ salt);
+        older.remove(hash ^ salt);
         if (shared != null) {
             shared.release(hash);
         }
@@ -102,7 +113,7 @@
         long nowNanos = nanoTime.getAsLong();
         if (nowNanos - newerSinceNanos >= periodMs() * NANOS_PER_MS) {
             older = newer;
-            newer = new RequestIdHashes(salt);
+            newer = new LongHashSet();
             newerSinceNanos = nowNanos;
         }
     }
@@ -114,12 +125,12 @@
      * @return false if the set has no room for them; nothing is shared then
      */
     public synchronized boolean shareWith(SharedRequestIds ids) {
-        boolean[] unavailable = new boolean[1];
-        for (RequestIdHashes hashes : new RequestIdHashes[] {newer, older}) {
-            hashes.forEach(hash -> unavailable[0] |= ids.claim(hash) == SharedRequestIds.Claim.UNAVAILABLE);
-        }
-        if (unavailable[0]) {
-            return false;
+        for (LongHashSet hashes : List.of(newer, older)) {
+            for (LongCursor salted : hashes) {
+                if (ids.claim(salted.value ^ salt) == SharedRequestIds.Claim.UNAVAILABLE) {
+                    return false;
+                }
+            }
         }
         shared = ids;
         return true;
--- a/src/main/java/maplespread/caller/ServingContext.java
+++ b/src/main/java/maplespread/caller/ServingContext.java
@@ -24,7 +24,6 @@
         ExecutorService requestThreads,
         Supplier<Config.Limits> limits,
         ConcurrencyLimit requestPermits,
-        MemoryBudget memory,
         Metrics metrics,
         ServiceState state,
         RequestHooks hooks) {
@@ -46,10 +45,12 @@
      * What else takes part in the processing of a request.
      *
      * @param recentIds the ids of the requests in flight and of recent ones
+     * @param memory bounds the memory of all requests and of the workers' responses
      * @param listener notified of each request, or null
      * @param sequencer orders requests, or null
      */
-    public record RequestHooks(RecentRequestIds recentIds, RequestListener listener, RequestSequencer sequencer) {}
+    public record RequestHooks(
+            RecentRequestIds recentIds, MemoryBudget memory, RequestListener listener, RequestSequencer sequencer) {}
 
     /** Creates a context with all permits available. */
     public ServingContext(
@@ -68,7 +69,6 @@
                 requestThreads,
                 limits,
                 new ConcurrencyLimit(() -> limits.get().requestsInFlight()),
-                attemptRunner.memory(),
                 metrics,
                 state,
                 hooks);
@@ -78,6 +78,10 @@
         return hooks.recentIds();
     }
 
+    MemoryBudget memory() {
+        return hooks.memory();
+    }
+
     /** Returns the configuration in force; read once for each request, which uses it to its end. */
     Config config() {
         return currentConfig.get();
--- a/src/main/java/maplespread/lab/scale/SimulatedMember.java
+++ b/src/main/java/maplespread/lab/scale/SimulatedMember.java
@@ -33,10 +33,12 @@
     private static final class HollowHost implements FeatureContext {
         private final Config config;
         private final Metrics figures = new Metrics();
+        private final RecentRequestIds requestIds;
         private volatile boolean serving;
 
         HollowHost(Config config) {
             this.config = config;
+            requestIds = new RecentRequestIds(() -> config.times().longestDeadlineMs());
         }
 
         @Override
@@ -84,7 +86,7 @@
 
         @Override
         public RecentRequestIds requestIds() {
-            throw new UnsupportedOperationException("no clients");
+            return requestIds;
         }
 
         @Override
--- a/src/main/java/maplespread/policy/ReproducibleMath.java
+++ b/src/main/java/maplespread/policy/ReproducibleMath.java
@@ -1,8 +1,8 @@
 package maplespread.policy;
 
 /**
- * The transcendental functions, the same to the last bit on every JVM and kind of machine. {@link Math} allows each JVM results that differ in the last digit, and JVMs compute them by
- * the machine's own instructions; {@link StrictMath} prescribes every bit.
+ * The transcendental functions, the same to the last bit on every JVM and kind of machine. {@link Math} leaves the last
+ * digit to each JVM, which may use the machine's own instructions; {@link StrictMath} prescribes every bit.
  */
 public final class ReproducibleMath {
     private ReproducibleMath() {}
--- a/src/main/java/maplespread/worker/AttemptRunner.java
+++ b/src/main/java/maplespread/worker/AttemptRunner.java
@@ -58,11 +58,6 @@
         this.metrics = metrics;
     }
 
-    /** Returns the budget that the responses of workers are held under. */
-    public MemoryBudget memory() {
-        return memory;
-    }
-
     /** Cancels an attempt by closing its connection; {@link #run} still returns a result. */
     public void cancel(Attempt attempt) {
         RunningAttempt state = running.get(attempt);
--- a/src/test/java/maplespread/caller/RecentRequestIdsTest.java
+++ b/src/test/java/maplespread/caller/RecentRequestIdsTest.java
@@ -40,7 +40,7 @@
     /** Guards memory: where no more ids can be kept, requests are rejected, until the older ids' time is over. */
     @Test
     void aFullSetRejectsAndForgetsNothingInItsTime() {
-        for (int i = 0; i < RequestIdHashes.MAX_HASHES; i++) {
+        for (int i = 0; i < RecentRequestIds.MAX_IDS; i++) {
             assertEquals(Registration.REGISTERED, register("n" + i));
         }
         assertEquals(Registration.UNAVAILABLE, register("one more"));
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -72,6 +72,8 @@
         return t;
     });
 
+    private MemoryBudget memory = new MemoryBudget(1 << 23);
+
     @AfterEach
     void end() {
         threads.shutdownNow();
@@ -142,7 +144,7 @@
             dispatcher.reportEndpoints(config.cachedEndpoints());
             dispatcher.reportEndpoints(new EndpointUpdate(EndpointUpdate.Kind.DELTA, 1, List.of()));
             ConnectionPool links = new ConnectionPool(() -> config, config::limits, dialer);
-            branches = new AttemptRunner(() -> config, links, dispatcher, figures, new MemoryBudget(1 << 23));
+            branches = new AttemptRunner(() -> config, links, dispatcher, figures, memory);
             Starts counted = new Starts(work -> transactions.accept(() -> {
                 work.run();
                 over.incrementAndGet();
@@ -156,7 +158,7 @@
                     figures,
                     new ServingContext.ServiceState(() -> true, () -> null, () -> false, () -> Long.MAX_VALUE),
                     new ServingContext.RequestHooks(
-                            new RecentRequestIds(() -> config.times().longestDeadlineMs()), null, null));
+                            new RecentRequestIds(() -> config.times().longestDeadlineMs()), memory, null, null));
             listener = new ClientListener(door, service, new Starts(legs), new Starts(legs));
             threads.execute(listener);
         }
@@ -449,4 +451,33 @@
             }
         }
     }
+
+    /** Guards the others against a worker that stops inside a long result: its attempt gives its memory to theirs. */
+    @Test
+    void aWorkerThatStopsInsideALongResultGivesItsMemoryWay() throws Exception {
+        memory = new MemoryBudget(600 * 1024); // for one long result
+        String half = "{\"id\":\"slow\",\"state\":\"done\",\"result\":\"" + "x".repeat(20_000);
+        Loopback.Script script = call -> {
+            call.open();
+            if (call.id().equals("slow")) {
+                call.raw("10000\r\n" + half);
+            } else {
+                call.done("y".repeat(20_000));
+            }
+        };
+        try (Peer worker = new Peer(script);
+                Node node = new Node(
+                        Loopback.config("127.0.0.1:1", worker),
+                        this::plainly,
+                        this::plainly,
+                        (to, limitMs) -> HttpConnection.dial(to, Loopback.LIMIT_MS));
+                HttpConnection slow = node.client(job("order", "slow", 60_000))) {
+            until("it holds the memory", () -> memory.reservedBytes() > 500 * 1024);
+            try (HttpConnection other = node.client(job("page", "other", 4000))) {
+                assertEquals(200, status(other));
+            }
+            assertEquals(502, status(slow), "it may have run");
+        }
+        until("all is released", () -> memory.reservedBytes() == 0);
+    }
 }
--- a/src/test/java/maplespread/net/ShutdownTest.java
+++ b/src/test/java/maplespread/net/ShutdownTest.java
@@ -69,6 +69,7 @@
         t.setDaemon(true);
         return t;
     });
+    private final MemoryBudget memory = new MemoryBudget(1 << 23);
     private volatile boolean parting;
     private volatile Config.Limits sizes;
     private Runnable known; // has the dispatcher know its worker
@@ -166,13 +167,13 @@
         ServingContext service = new ServingContext(
                 () -> config,
                 dispatcher,
-                new AttemptRunner(() -> config, links, dispatcher, figures, new MemoryBudget(1 << 23)),
+                new AttemptRunner(() -> config, links, dispatcher, figures, memory),
                 threads,
                 () -> sizes,
                 figures,
                 new ServingContext.ServiceState(() -> !parting, () -> null, () -> parting, () -> Long.MAX_VALUE),
                 new ServingContext.RequestHooks(
-                        new RecentRequestIds(() -> config.times().longestDeadlineMs()), null, null));
+                        new RecentRequestIds(() -> config.times().longestDeadlineMs()), memory, null, null));
         door = new Door();
         listener = new ClientListener(door, service, threads, threads);
         threads.execute(listener);
--- a/src/test/java/maplespread/net/SubsetStoryTest.java
+++ b/src/test/java/maplespread/net/SubsetStoryTest.java
@@ -43,22 +43,7 @@
             });
         }
         Loopback here = new Loopback(workers);
-        here.server.stop(); // another one takes its place
-        discovery = here.discovery;
-        OperatorConfig operator = new OperatorConfig(false, null, WISH, false);
-        DispatcherServer server = new DispatcherServer(
-                ConfigReader.read(file(), Map.of()), operator, new DispatcherServer.ConfigSource() {
-                    @Override
-                    public Config read() throws ConfigException {
-                        return ConfigReader.read(file(), Map.of());
-                    }
-
-                    @Override
-                    public OperatorConfig operator() {
-                        return operator;
-                    }
-                });
-        here.server = server;
+        DispatcherServer server = withSubset(here);
         server.start();
         try (Loopback.Client client = here.new Client()) {
             Set<String> mine = expected().workers();
@@ -94,22 +79,7 @@
             workers[i] = new Loopback.Peer(call -> {});
         }
         Loopback here = new Loopback(workers);
-        here.server.stop(); // another one takes its place
-        discovery = here.discovery;
-        OperatorConfig operator = new OperatorConfig(false, null, WISH, false);
-        DispatcherServer server = new DispatcherServer(
-                ConfigReader.read(file(), Map.of()), operator, new DispatcherServer.ConfigSource() {
-                    @Override
-                    public Config read() throws ConfigException {
-                        return ConfigReader.read(file(), Map.of());
-                    }
-
-                    @Override
-                    public OperatorConfig operator() {
-                        return operator;
-                    }
-                });
-        here.server = server;
+        DispatcherServer server = withSubset(here);
         try {
             discovery.calls.clear();
             server.start();
@@ -130,6 +100,26 @@
         }
     }
 
+    /** Puts a dispatcher that uses a subset in the place of the one that there is; it is not started. */
+    private DispatcherServer withSubset(Loopback here) throws Exception {
+        here.server.stop();
+        discovery = here.discovery;
+        OperatorConfig operator = new OperatorConfig(false, null, WISH, false);
+        here.server = new DispatcherServer(
+                ConfigReader.read(file(), Map.of()), operator, new DispatcherServer.ConfigSource() {
+                    @Override
+                    public Config read() throws ConfigException {
+                        return ConfigReader.read(file(), Map.of());
+                    }
+
+                    @Override
+                    public OperatorConfig operator() {
+                        return operator;
+                    }
+                });
+        return here.server;
+    }
+
     private int sharers() {
         SubsetAssignment cut = expected();
         cut.workers();
