A source that replaces a registry asks discovery for its whole list

Cause: the new source asked for changes since the configuration's cached list, which is in use at the start alone. Discovery answered with a delta, and EndpointSourceSwitch rightly drops deltas of a source that has not told its whole list.

Change: EndpointSources.first goes on from the cached list, EndpointSources.replacement asks from version 0.

--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -174,7 +174,7 @@
         };
         features = new Features(config, operator, new DispatcherContext());
         endpointListener = features.wrapListener(listHandler);
-        endpointSource = new EndpointSourceSwitch(EndpointSources.create(config, registry), endpointListener);
+        endpointSource = new EndpointSourceSwitch(EndpointSources.first(config, registry), endpointListener);
         daemonThreads = List.of(daemonThread("ticker", this::tick), daemonThread("reloader", this::runReloads));
     }
 
@@ -365,7 +365,7 @@
             metrics.reconfigured(true);
             if (!Objects.equals(registry, newRegistry)) {
                 registry = newRegistry;
-                endpointSource.switchTo(EndpointSources.create(next, newRegistry));
+                endpointSource.switchTo(EndpointSources.replacement(next, newRegistry));
                 Logger.info(
                         "configuration: read anew; routes come from {}",
                         newRegistry == null
--- a/src/test/java/maplespread/net/RegistryStoriesTest.java
+++ b/src/test/java/maplespread/net/RegistryStoriesTest.java
@@ -59,6 +59,7 @@
         final Dialect dialect;
         volatile OperatorConfig operator;
         volatile String bad; // the operators' file, while it is faulty
+        volatile String discovery = "127.0.0.1:1";
         DispatcherServer server;
 
         Town(Dialect dialect, int members, int workers) throws Exception {
@@ -106,8 +107,8 @@
                     1200);
         }
 
-        static Config config() throws ConfigException {
-            return Loopback.swift(ConfigReader.read(Loopback.config("127.0.0.1:1"), Map.of()));
+        Config config() throws ConfigException {
+            return Loopback.swift(ConfigReader.read(Loopback.config(discovery), Map.of()));
         }
 
         Town start() throws Exception {
@@ -461,6 +462,28 @@
         }
     }
 
+    /** Guards drains after a change from a registry to discovery, which has nothing new beyond an old version of its list. */
+    @Test
+    void afterAChangeToDiscoveryItsDrainsAreObeyed() throws Exception {
+        try (Loopback.Peer worker = new Loopback.Peer(call -> {});
+                Loopback.Peer discovery = new Loopback.Peer(call -> {
+                    call.open();
+                    boolean whole = call.head.target().endsWith("since=0");
+                    call.line(whole ? Loopback.list(1, true, "SERVING", worker) : Loopback.list(1, false, "SERVING"));
+                });
+                Town town = new Town(Dialect.ETCD, 1, 2).start()) {
+            town.untilTold(town.worker(1), Endpoint.State.SERVING);
+            town.discovery = discovery.address();
+            town.bad = "{}";
+            town.server.reload();
+            Loopback.Call watch = discovery.next();
+            String id = "s-" + worker.socket.getLocalPort();
+            until("discovery's list", () -> town.told.containsKey(id));
+            watch.line(Loopback.list(2, false, "DRAINING", worker));
+            until("its drain", () -> town.told.get(id).state() == Endpoint.State.DRAINING);
+        }
+    }
+
     @Test
     void aRegistryThatNeverAnswersHoldsUpNeitherStartNorEnd() throws Exception {
         try (Town town = new Town(Dialect.ETCD, 1, 1)) {
