Updates of a source that is being replaced do not confirm the list

Change: EndpointSourceSwitch passes them as unconfirmed, as DiscoveryClient does after a move; EndpointUpdate.unconfirmed for both.

--- a/src/main/java/maplespread/discovery/DiscoveryClient.java
+++ b/src/main/java/maplespread/discovery/DiscoveryClient.java
@@ -160,9 +160,6 @@
             Logger.info("{} sent its first update; the watch of the previous address is closed", watch.address());
         }
         watch.setListVersion(update.version());
-        // An update of an old address does not confirm the list: the new address may know of further changes.
-        boolean current = watch == newest;
-        listener.endpointsChanged(
-                current ? update : new EndpointUpdate(update.kind(), update.version(), update.endpoints(), false));
+        listener.endpointsChanged(watch == newest ? update : update.unconfirmed());
     }
 }
--- a/src/main/java/maplespread/discovery/EndpointSourceSwitch.java
+++ b/src/main/java/maplespread/discovery/EndpointSourceSwitch.java
@@ -9,8 +9,8 @@
 
 /**
  * Forwards the updates of one source at a time. A new source takes over once it has read the full list; until then
- * the old source's updates are still forwarded, so that no drain is missed and a list is available at all times.
- * Thread-safe; the listener is notified under this object's lock.
+ * the old source's updates are still forwarded, so that no drain is missed and a list is available at all times, but
+ * do not confirm the list. Thread-safe; the listener is notified under this object's lock.
  */
 public final class EndpointSourceSwitch implements EndpointSource {
     /** Creates a source that notifies the listener; the switch starts the source. */
@@ -100,7 +100,7 @@
                 Event.of("endpoints.source_switched", "revision", update.version())
                         .info();
             }
-            listener.endpointsChanged(update);
+            listener.endpointsChanged(source == newest ? update : update.unconfirmed());
         }
         if (replacedSource != null) {
             closeInBackground(replacedSource);
--- a/src/main/java/maplespread/facade/EndpointUpdate.java
+++ b/src/main/java/maplespread/facade/EndpointUpdate.java
@@ -14,6 +14,11 @@
         this(kind, version, endpoints, kind != Kind.CACHED_SNAPSHOT);
     }
 
+    /** The same update from a source that is being replaced: the new source may know of further changes. */
+    public EndpointUpdate unconfirmed() {
+        return new EndpointUpdate(kind, version, endpoints, false);
+    }
+
     /** Which endpoints an update contains. */
     public enum Kind {
         /** The endpoints that have changed. */
--- a/src/test/java/maplespread/net/RegistryStoriesTest.java
+++ b/src/test/java/maplespread/net/RegistryStoriesTest.java
@@ -484,6 +484,32 @@
         }
     }
 
+    /** Guards against a discovery that is called once and no more, as the replaced registry's updates pass for its answer. */
+    @Test
+    void aFailedCallAfterAChangeToDiscoveryIsFollowedByOthers() throws Exception {
+        AtomicBoolean called = new AtomicBoolean();
+        try (Loopback.Peer discovery = new Loopback.Peer(call -> {
+                    called.set(true);
+                    call.link.close();
+                });
+                Town town = new Town(Dialect.ETCD, 1, 2).start()) {
+            town.untilTold(town.worker(1), Endpoint.State.SERVING);
+            town.discovery = discovery.address();
+            town.bad = "{}";
+            town.server.reload();
+            until("a call", called::get);
+            Loopback.daemon(() -> {
+                for (long changes = 1; !town.over.get(); changes++) {
+                    town.put(town.worker(1), "SERVING", changes);
+                    Thread.sleep(20);
+                }
+            });
+            for (int i = 0; i < 4; i++) {
+                discovery.next();
+            }
+        }
+    }
+
     @Test
     void aRegistryThatNeverAnswersHoldsUpNeitherStartNorEnd() throws Exception {
         try (Town town = new Town(Dialect.ETCD, 1, 1)) {
