--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -66,6 +66,9 @@
     private static final int MAX_WAITING_CONNECTIONS = 64;
 
     private static final long SWEEP_INTERVAL_MS = 1000;
+    /** Interval in milliseconds at which writes past their requests' deadlines are ended. */
+    private static final long STALLED_WRITE_POLL_MS = 100;
+
     private static final long COUNTS_LOG_INTERVAL_MS = 10_000;
     /** Idle time in milliseconds after which a client connection is closed during a drain. */
     private static final long IDLE_CLOSE_MS = 500;
@@ -98,6 +101,7 @@
     private final DecisionService decisions;
     private final ConnectionPool connectionPool;
     private final AttemptRunner attemptRunner;
+    private final PeerForwarder peerForwarder;
     private final Prober prober;
     private final EndpointSourceSwitch endpointSource;
     private final EndpointListener endpointListener;
@@ -148,6 +152,7 @@
         probes = daemonThreads("probe", config.limits().probes());
         decisions = new DecisionService(config.settings(), config.seed(), operator.fair());
         connectionPool = new ConnectionPool(this::config, this::presentLimits);
+        peerForwarder = new PeerForwarder(connectionPool);
         attemptRunner = new AttemptRunner(this::config, connectionPool, decisions, metrics, memory);
         metrics.showClasses(config.names().classes());
         prober = new Prober(this::config, connectionPool, decisions);
@@ -240,7 +245,7 @@
 
         @Override
         public PeerForwarder peerForwarder() {
-            return new PeerForwarder(connectionPool);
+            return peerForwarder;
         }
     }
 
@@ -490,7 +495,7 @@
     private void tick() {
         while (true) {
             try {
-                for (Action action : decisions.tick(lifecycle.quiesced() ? DRAIN_POLL_MS : SWEEP_INTERVAL_MS)) {
+                for (Action action : decisions.tick(lifecycle.quiesced() ? DRAIN_POLL_MS : STALLED_WRITE_POLL_MS)) {
                     if (action instanceof Action.Probe probe) {
                         probe(probe);
                     } else if (action instanceof Action.Cancel cancel) {
@@ -500,12 +505,13 @@
                     }
                 }
                 closeIdleConnections();
+                attemptRunner.sweep();
+                peerForwarder.sweep();
                 if (System.nanoTime() - lastSweepNanos > SWEEP_INTERVAL_MS * 1_000_000) {
                     lastSweepNanos = System.nanoTime();
                     Set<String> used = new HashSet<>(decisions.endpointAddresses());
                     used.addAll(features.peerAddresses());
                     connectionPool.closeExpired(used);
-                    attemptRunner.sweep();
                     if (listener != null) {
                         listener.sweep();
                     }
--- a/src/main/java/maplespread/worker/PeerForwarder.java
+++ b/src/main/java/maplespread/worker/PeerForwarder.java
@@ -34,8 +34,17 @@
         }
     }
 
+    /** A connection that a request is being forwarded on, until the request's deadline on System.nanoTime. */
+    private record Forwarding(ConnectionPool.PooledConnection connection, long endNanos) {
+        void closeIfWriteStalled() {
+            if (System.nanoTime() - endNanos > 0) {
+                connection.connection.closeIfWriteStalled(0);
+            }
+        }
+    }
+
     private final ConnectionPool pool;
-    private final Map<Object, ConnectionPool.PooledConnection> running = new ConcurrentHashMap<>();
+    private final Map<Object, Forwarding> running = new ConcurrentHashMap<>();
 
     /** Creates a forwarder that uses the pool's connections. */
     public PeerForwarder(ConnectionPool pool) {
@@ -47,12 +56,17 @@
      * connection is being established, {@code abandoned} of {@link #run} tells of it instead.
      */
     public void cancel(Object handle) {
-        ConnectionPool.PooledConnection connection = running.get(handle);
-        if (connection != null) {
-            connection.connection.close();
+        Forwarding forwarding = running.get(handle);
+        if (forwarding != null) {
+            forwarding.connection.connection.close();
         }
     }
 
+    /** Closes the connections of requests past their deadlines that are still writing: writes have no time limit. */
+    public void sweep() {
+        running.values().forEach(Forwarding::closeIfWriteStalled);
+    }
+
     /**
      * Forwards a request and blocks for at most {@code limitMs} milliseconds.
      *
@@ -68,7 +82,7 @@
         } catch (IOException | IllegalArgumentException e) {
             return Result.unanswered(Status.NOT_SENT);
         }
-        running.put(handle, connection);
+        running.put(handle, new Forwarding(connection, endNanos));
         boolean reusable = false;
         try {
             if (abandoned.getAsBoolean()) {
--- a/src/test/java/maplespread/worker/PeerForwarderTest.java
+++ b/src/test/java/maplespread/worker/PeerForwarderTest.java
@@ -1,14 +1,18 @@
 package maplespread.worker;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
@@ -17,6 +21,8 @@
 import org.junit.jupiter.api.Test;
 
 class PeerForwarderTest {
+    private static final long TIME_LIMIT_S = 60;
+
     /** Guards against a request that is sent on for a client that left while the connection to the peer came up. */
     @Test
     void whatIsCancelledWhileItsConnectionComesUpIsNotSent() throws Exception {
@@ -43,6 +49,35 @@
         }
     }
 
+    /** Guards requests that are forwarded over a connection that has fallen silent: a write must end with their time. */
+    @Test
+    void aWriteThatBlocksEndsWithTheRequestsTime() throws Exception {
+        Config config = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
+        PeerForwarder forwarder = new PeerForwarder(new ConnectionPool(() -> config, config::limits));
+        try (ServerSocket peer = new ServerSocket()) {
+            peer.setReceiveBufferSize(1024);
+            peer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            CompletableFuture<PeerForwarder.Result> result = CompletableFuture.supplyAsync(() -> forwarder.run(
+                    "request",
+                    "127.0.0.1:" + peer.getLocalPort(),
+                    HttpWriter.request("POST", "/order/x", "peer"),
+                    new byte[16 << 20],
+                    200,
+                    () -> false));
+            try (Socket silent = peer.accept()) {
+                long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIME_LIMIT_S);
+                while (!result.isDone() && System.nanoTime() < endNanos) {
+                    forwarder.sweep();
+                    Thread.onSpinWait();
+                }
+                assertEquals(
+                        PeerForwarder.Status.NOT_SENT,
+                        result.get(1, TimeUnit.SECONDS).status());
+                assertFalse(silent.isClosed());
+            }
+        }
+    }
+
     private static void assertNothingArrives(ServerSocket peer) throws IOException {
         try (Socket accepted = peer.accept()) {
             assertEquals(0, accepted.getInputStream().available());
