What must not run twice takes a kept connection only some time after its last answer

A worker's second answer to the job before, 8 ms late and marked as a refusal, was taken for the checkout's own, and the checkout was sent on.

Cause: a refusal names no job, and on a kept connection it was believed to be of the job just written. The look for stray bytes before a send cannot see one that is still on its way.

Change: ConnectionReuse.IF_SETTLED: a kept connection is used 100 ms after its last answer, the youngest such one, else a new one. Forwardings and probes keep to what they had (IF_RELIABLE). A second answer later than 100 ms is not covered.

--- a/src/main/java/maplespread/worker/AttemptRunner.java
+++ b/src/main/java/maplespread/worker/AttemptRunner.java
@@ -89,8 +89,8 @@
     private AttemptResult run(Attempt attempt, WorkerRequest request, RunningAttempt state) {
         ConnectionPool.PooledConnection connection;
         try {
-            boolean atMostOnce = !decisions.isIdempotent(attempt);
-            connection = pool.acquire(attempt.address(), Math.max(1, remainingMs(attempt)), atMostOnce);
+            ConnectionReuse reuse = decisions.isIdempotent(attempt) ? ConnectionReuse.ANY : ConnectionReuse.IF_SETTLED;
+            connection = pool.acquire(attempt.address(), Math.max(1, remainingMs(attempt)), reuse);
         } catch (IOException | IllegalArgumentException e) {
             return AttemptResult.of(state.cancelled() ? Outcome.NEVER_SENT : Outcome.CONNECT_FAILED);
         }
--- a/src/main/java/maplespread/worker/ConnectionPool.java
+++ b/src/main/java/maplespread/worker/ConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import maplespread.config.Config;
 import maplespread.discovery.EndpointParser;
@@ -47,6 +48,8 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long MIN_TRUSTED_IDLE_NANOS = 100_000_000L;
+    /** Time after a response in which a worker may send a second one to the same request. */
+    private static final long MAX_SECOND_RESPONSE_DELAY_NANOS = 100_000_000L;
     /** Weight of one use in the moving average of the break share, so that about thirty uses count. */
     private static final double BREAK_ESTIMATE_STEP = 0.03;
     /** Break share above which reused connections do not carry requests that must not run twice. */
@@ -57,6 +60,7 @@
     private final Supplier<Config> config;
     private final Supplier<Config.Limits> limits;
     private final Dialer dialer;
+    private final LongSupplier nanoTime;
     private final Map<String, ArrayDeque<PooledConnection>> idle = new HashMap<>();
     private int idleCount;
     /** Number of connections in use or being established. */
@@ -78,9 +82,16 @@
 
     /** Creates an empty pool whose connections are opened by {@code dialer}. */
     public ConnectionPool(Supplier<Config> config, Supplier<Config.Limits> limits, Dialer dialer) {
+        this(config, limits, dialer, System::nanoTime);
+    }
+
+    /** Creates an empty pool that reads the time from {@code nanoTime}, a clock as {@link System#nanoTime}. */
+    public ConnectionPool(
+            Supplier<Config> config, Supplier<Config.Limits> limits, Dialer dialer, LongSupplier nanoTime) {
         this.config = config;
         this.limits = limits;
         this.dialer = dialer;
+        this.nanoTime = nanoTime;
         trustedIdleNanos = maxIdleNanos();
     }
 
@@ -89,24 +100,22 @@
     }
 
     /**
-     * Returns the most recently used idle connection to the address, or a new one.
+     * Returns the most recently used idle connection to the address that may carry the request, or a new one.
      *
      * @param limitMs the time limit for connecting in milliseconds
-     * @param atMostOnce whether the request must not run twice; if so, no reused connection is returned while those
-     * break
      */
-    PooledConnection acquire(String address, long limitMs, boolean atMostOnce) throws IOException {
-        PooledConnection reusable = takeUsable(address, atMostOnce);
+    PooledConnection acquire(String address, long limitMs, ConnectionReuse reuse) throws IOException {
+        PooledConnection reusable = takeUsable(address, reuse);
         return reusable != null ? reusable : connect(address, limitMs);
     }
 
-    private PooledConnection takeUsable(String address, boolean atMostOnce) {
-        while (!(atMostOnce && areReusedConnectionsUnreliable())) {
-            PooledConnection candidate = takeIdle(address);
+    private PooledConnection takeUsable(String address, ConnectionReuse reuse) {
+        while (reuse == ConnectionReuse.ANY || !areReusedConnectionsUnreliable()) {
+            PooledConnection candidate = takeIdle(address, reuse);
             if (candidate == null) {
                 return null;
             }
-            candidate.idledNanos = System.nanoTime() - candidate.idleSinceNanos;
+            candidate.idledNanos = nanoTime.getAsLong() - candidate.idleSinceNanos;
             if (candidate.idledNanos < trustedIdleNanos() && !candidate.connection.stale()) {
                 return candidate;
             }
@@ -133,29 +142,32 @@
         }
     }
 
-    private synchronized PooledConnection takeIdle(String address) {
-        PooledConnection newest = removeIdle(address, false);
-        if (newest != null) {
-            newest.inUse = true;
-            inUseCount++;
-        }
-        return newest;
-    }
-
-    private PooledConnection removeIdle(String address, boolean oldest) {
+    /** Takes the most recently used of the address's idle connections that may carry the request, or null. */
+    private synchronized PooledConnection takeIdle(String address, ConnectionReuse reuse) {
         ArrayDeque<PooledConnection> connections = idle.get(address);
         if (connections == null) {
             return null;
         }
-        PooledConnection removed = oldest ? connections.pollFirst() : connections.pollLast();
-        if (removed == null) {
-            return null;
+        long minIdleNanos = reuse == ConnectionReuse.IF_SETTLED ? MAX_SECOND_RESPONSE_DELAY_NANOS : 0;
+        long nowNanos = nanoTime.getAsLong();
+        for (Iterator<PooledConnection> newestFirst = connections.descendingIterator(); newestFirst.hasNext(); ) {
+            PooledConnection candidate = newestFirst.next();
+            if (nowNanos - candidate.idleSinceNanos >= minIdleNanos) {
+                newestFirst.remove();
+                removedIdle(address, connections);
+                candidate.inUse = true;
+                inUseCount++;
+                return candidate;
+            }
         }
+        return null;
+    }
+
+    private void removedIdle(String address, ArrayDeque<PooledConnection> connections) {
         idleCount--;
         if (connections.isEmpty()) {
             idle.remove(address);
         }
-        return removed;
     }
 
     /** Counts a new connection; returns the connection idle longest, to be closed, if there would be too many. */
@@ -173,7 +185,13 @@
                 oldestSinceNanos = oldestNanos;
             }
         }
-        return address == null ? null : removeIdle(address, true);
+        if (address == null) {
+            return null;
+        }
+        ArrayDeque<PooledConnection> connections = idle.get(address);
+        PooledConnection longestIdle = connections.removeFirst();
+        removedIdle(address, connections);
+        return longestIdle;
     }
 
     /** Returns how many connections may be idle in addition to those in use. */
@@ -241,7 +259,7 @@
         synchronized (this) {
             markUnused(connection);
             if (idleCount < idleCapacity()) {
-                connection.idleSinceNanos = System.nanoTime();
+                connection.idleSinceNanos = nanoTime.getAsLong();
                 connection.reused = true;
                 idle.computeIfAbsent(connection.address, address -> new ArrayDeque<>())
                         .addLast(connection);
@@ -268,7 +286,7 @@
                 boolean unlisted = !listedAddresses.contains(entry.getKey());
                 ArrayDeque<PooledConnection> connections = entry.getValue();
                 while (!connections.isEmpty()
-                        && (unlisted || System.nanoTime() - connections.peekFirst().idleSinceNanos > maxIdleNanos)) {
+                        && (unlisted || nanoTime.getAsLong() - connections.peekFirst().idleSinceNanos > maxIdleNanos)) {
                     expired.add(connections.removeFirst());
                     idleCount--;
                 }
--- a/src/main/java/maplespread/worker/PeerForwarder.java
+++ b/src/main/java/maplespread/worker/PeerForwarder.java
@@ -78,7 +78,7 @@
         long endNanos = System.nanoTime() + limitMs * NANOS_PER_MS;
         ConnectionPool.PooledConnection connection;
         try {
-            connection = pool.acquire(address, Math.max(1, limitMs), true);
+            connection = pool.acquire(address, Math.max(1, limitMs), ConnectionReuse.IF_RELIABLE);
         } catch (IOException | IllegalArgumentException e) {
             return Result.unanswered(Status.NOT_SENT);
         }
--- a/src/main/java/maplespread/worker/Prober.java
+++ b/src/main/java/maplespread/worker/Prober.java
@@ -39,7 +39,7 @@
         Outcome outcome;
         ConnectionPool.PooledConnection connection = null;
         try {
-            connection = pool.acquire(probe.address(), config.get().times().dialMs(), true);
+            connection = pool.acquire(probe.address(), config.get().times().dialMs(), ConnectionReuse.IF_RELIABLE);
             outcome = Outcome.RESET;
             connection.connection.send(
                     HttpWriter.request("GET", "/status/load", probe.address()).bytes());
--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -24,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import maplespread.caller.ClientListener;
 import maplespread.caller.RecentRequestIds;
 import maplespread.caller.ServingContext;
@@ -73,6 +75,7 @@
     });
 
     private MemoryBudget memory = new MemoryBudget(1 << 23);
+    private LongSupplier nanoTime = System::nanoTime;
 
     @AfterEach
     void end() {
@@ -143,7 +146,7 @@
             dispatcher = new DecisionService(config.settings(), 1, false);
             dispatcher.reportEndpoints(config.cachedEndpoints());
             dispatcher.reportEndpoints(new EndpointUpdate(EndpointUpdate.Kind.DELTA, 1, List.of()));
-            ConnectionPool links = new ConnectionPool(() -> config, config::limits, dialer);
+            ConnectionPool links = new ConnectionPool(() -> config, config::limits, dialer, nanoTime);
             branches = new AttemptRunner(() -> config, links, dispatcher, figures, memory);
             Starts counted = new Starts(work -> transactions.accept(() -> {
                 work.run();
@@ -391,6 +394,39 @@
         }
     }
 
+    /** Guards against a checkout that runs twice: a late second answer, a refusal, comes ahead of the checkout's own. */
+    @Test
+    void aLateRefusalOfAnotherJobProvesNothingOfAnOrder() throws Exception {
+        nanoTime = () -> 0; // no time passes for the pool, so no connection is ever old enough
+        Map<HttpConnection, Boolean> answered = new ConcurrentHashMap<>();
+        Loopback.Script answersTwice = call -> {
+            if (answered.putIfAbsent(call.link, true) == null) {
+                DONE.answer(call);
+            } else {
+                call.raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+        };
+        try (Peer one = new Peer(answersTwice);
+                Peer other = new Peer(answersTwice);
+                Node node = new Node(
+                        Loopback.config("127.0.0.1:1", one, other),
+                        this::plainly,
+                        this::plainly,
+                        HttpConnection::dial);
+                HttpConnection client = node.client(job("page", "a", 4000))) {
+            assertEquals(200, status(client));
+            until("its connection is kept", () -> node.over.get() == 1);
+            for (int order = 1; order <= 4; order++) {
+                client.send(job("order", "b" + order, 4000).getBytes());
+                assertEquals(200, status(client));
+            }
+            List<String> ran = new ArrayList<>(jobs(one));
+            ran.addAll(jobs(other));
+            assertEquals(
+                    List.of("a", "b1", "b2", "b3", "b4"), ran.stream().sorted().toList());
+        }
+    }
+
     /** A drain is told between the choice and the first byte: the job goes to the other worker, once. */
     @Test
     void aDrainToldWhileTheConnectionComesUpIsObeyed() throws Exception {
--- a/src/test/java/maplespread/worker/ConnectionPoolTest.java
+++ b/src/test/java/maplespread/worker/ConnectionPoolTest.java
@@ -14,8 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import maplespread.config.Config;
 import maplespread.config.ConfigReader;
+import maplespread.http.HttpConnection;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -51,7 +54,11 @@
     }
 
     private ConnectionPool.PooledConnection get(int worker) throws IOException {
-        return pool.acquire("127.0.0.1:" + workers.get(worker % WORKERS).getLocalPort(), 5000, false);
+        return get(worker, ConnectionReuse.ANY);
+    }
+
+    private ConnectionPool.PooledConnection get(int worker, ConnectionReuse reuse) throws IOException {
+        return pool.acquire("127.0.0.1:" + workers.get(worker % WORKERS).getLocalPort(), 5000, reuse);
     }
 
     private List<ConnectionPool.PooledConnection> get(int from, int to) throws IOException {
@@ -108,4 +115,22 @@
         all.forEach(pool::release);
         assertEquals(all, get(2, WORKERS));
     }
+
+    /** Guards against a late second response that passes for the answer to a request that must not run twice. */
+    @Test
+    public void aConnectionIsSettledOnlySomeTimeAfterItsLastResponse() throws Exception {
+        AtomicLong now = new AtomicLong();
+        pool = new ConnectionPool(() -> config, config::limits, HttpConnection::dial, now::get);
+        ConnectionPool.PooledConnection early = get(0);
+        ConnectionPool.PooledConnection late = get(0);
+        pool.release(early);
+        now.addAndGet(TimeUnit.MILLISECONDS.toNanos(60));
+        pool.release(late);
+        now.addAndGet(TimeUnit.MILLISECONDS.toNanos(39));
+        ConnectionPool.PooledConnection unsettled = get(0, ConnectionReuse.IF_SETTLED);
+        assertFalse("99 ms after a response", List.of(early, late).contains(unsettled));
+        now.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
+        assertEquals("100 ms after", early, get(0, ConnectionReuse.IF_SETTLED));
+        assertEquals("what may be repeated takes the last one used", late, get(0, ConnectionReuse.ANY));
+    }
 }
