A restarted dispatcher reads the decided routing table before it serves

Cause: until it had learned the decided table, a fresh process held the file's, and sent at once what that does not order. It joined and learned only after its listener had opened, 0.2 s late.

Change: PartitionFeature.beforeServing reads the decided value from a majority of the electors: until 2 s after the start, 0.5 s at least. Without a majority the file's table counts as before, with a warning. Open: a process that replaces another in place cannot join the group yet.

--- a/src/main/java/maplespread/feature/PartitionFeature.java
+++ b/src/main/java/maplespread/feature/PartitionFeature.java
@@ -18,12 +18,18 @@
 
 /** Requests go to partitions of the workers, and those of one key in order over the whole fleet. */
 final class PartitionFeature implements Feature {
+    /** Time from the start within which the decided table is learned before this instance serves. */
+    private static final long LEARN_LIMIT_MS = 2000;
+    /** The same, where the wait for the endpoint list has taken most of that time. */
+    private static final long MIN_LEARN_WAIT_MS = 500;
+
     private final Config configAtStart;
     private final PartitionSettings settings;
     private final FeatureContext context;
     private final GroupFeature group;
     private final String groupHost;
     private PartitionService partitions;
+    private long startedAtMs;
 
     /** {@code groupAddress}: this dispatcher's HOST:PORT in the group. */
     PartitionFeature(
@@ -77,6 +83,21 @@
         return host + ':' + bound.getPort();
     }
 
+    @Override
+    public void start() {
+        startedAtMs = GroupFeature.nowMs();
+    }
+
+    /** A request that the configured table does not order may be ordered by the decided one. */
+    @Override
+    public void beforeServing() {
+        long leftMs = startedAtMs + LEARN_LIMIT_MS - GroupFeature.nowMs();
+        if (!partitions.learnDecided(Math.max(MIN_LEARN_WAIT_MS, leftMs))) {
+            Logger.warn(
+                    "no majority of the electors has told the table in force; the operators' file counts until then");
+        }
+    }
+
     @Override
     public void onServing() {
         partitions.start();
--- a/src/main/java/maplespread/partition/client/LeaseRenewer.java
+++ b/src/main/java/maplespread/partition/client/LeaseRenewer.java
@@ -93,14 +93,17 @@
      * join. Returns the delay before the next round in ms.
      */
     long run() {
+        joinIfPossible().ifPresent(this::renew);
+        return settings.askMs();
+    }
+
+    /** Joins the group if this member has not yet; returns empty while there is no group to join. */
+    Optional<ClusterHandle> joinIfPossible() {
         ClusterHandle handle = cluster.get();
-        if (handle != null) {
-            if (joined == null) {
-                join(handle);
-            }
-            renew(handle);
+        if (handle != null && joined == null) {
+            join(handle);
         }
-        return settings.askMs();
+        return Optional.ofNullable(handle);
     }
 
     private void join(ClusterHandle handle) {
--- a/src/main/java/maplespread/partition/client/PartitionService.java
+++ b/src/main/java/maplespread/partition/client/PartitionService.java
@@ -4,12 +4,15 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import maplespread.admin.AdminRoutes.Call;
 import maplespread.caller.RequestSequencer;
 import maplespread.config.Config;
 import maplespread.config.PartitionSettings;
+import maplespread.consensus.ChangeResult;
+import maplespread.consensus.Mutation;
 import maplespread.consensus.client.ReplicatedRegister;
 import maplespread.membership.client.ClusterTransport;
 import maplespread.partition.HeartbeatTable;
@@ -58,6 +61,7 @@
     private final ConfiguredTable configuredTable;
     private final PeerAddresses peers = new PeerAddresses();
     private final OrderedDispatch dispatch;
+    private final AssignmentStore store;
     private final LeaseRenewer leaseRenewer;
     private final AssignmentCoordinator coordinator;
     private final PartitionAdminApi adminApi;
@@ -75,7 +79,7 @@
         OrderingState state =
                 new OrderingState(leaseSettings, tables.get(configuredTable.compressed()), endpoints, operations);
         dispatch = new OrderedDispatch(name, state, endpoints, dependencies.forwarder(), operations);
-        AssignmentStore store = new AssignmentStore(state, dispatch, tables, configuredTable);
+        store = new AssignmentStore(state, dispatch, tables, configuredTable);
         HeartbeatTable heartbeats = new HeartbeatTable(MonotonicTime.nowMs());
         leaseRenewer = new LeaseRenewer(name, settings, dependencies, state, store, heartbeats, peers);
         coordinator = new AssignmentCoordinator(
@@ -107,6 +111,18 @@
         }
     }
 
+    /**
+     * Joins the group and learns the decided assignment with its table, if there is one. Blocks for at most {@code
+     * limitMs}. Must be called before {@link #start}. Returns false if no majority of the electors has answered: another
+     * table than the configured one may be in force.
+     */
+    public boolean learnDecided(long limitMs) {
+        Optional<ClusterHandle> handle = leaseRenewer.joinIfPossible();
+        return handle.isPresent()
+                && store.change(handle.get().register(), Mutation.READ, limitMs).outcome()
+                        == ChangeResult.Outcome.DECIDED;
+    }
+
     /** Starts the threads. Must be called once only. */
     public void start() {
         threads.forEach(Thread::start);
--- a/src/test/java/maplespread/net/GroupStory.java
+++ b/src/test/java/maplespread/net/GroupStory.java
@@ -96,7 +96,15 @@
 
     /** A new process, as it were, under this one's name. */
     void begin(int i) throws Exception {
-        Config config = Loopback.console(ConfigReader.read(config(i), Map.of()));
+        begin(i, Loopback.console(ConfigReader.read(config(i), Map.of())));
+    }
+
+    /** As {@link #begin(int)}, without a console, and serves as soon as it may: its list comes unasked. */
+    void beginWithPushedList(int i) throws Exception {
+        begin(i, ConfigReader.read(config(i).replace("\"ask\"", "\"push\""), Map.of()));
+    }
+
+    private void begin(int i, Config config) throws Exception {
         servers[i] = new DispatcherServer(config, OperatorReader.text(file(i)), new DispatcherServer.ConfigSource() {
             @Override
             public Config read() {
--- a/src/test/java/maplespread/net/PartitionStoryTest.java
+++ b/src/test/java/maplespread/net/PartitionStoryTest.java
@@ -263,6 +263,28 @@
                 () -> shown(2).getAsJsonObject("table").getAsJsonArray("rules").size() == 1001);
     }
 
+    /** Guards against jobs that go out unordered after a restart, as the file does not order them, but the table does. */
+    @Test
+    void aRestartedOneOrdersByTheDecidedTableFromItsFirstRequestOn() throws Exception {
+        int owner = owner("e1");
+        int restarted = owner == 1 ? 2 : 1;
+        CompletableFuture<Said> out = send(owner, "order", "e1", "");
+        Call first = worker.next();
+        fleet.more = fleet.more.replace(RULES, "{'rules':[{}]}");
+        fleet.servers[restarted].stop();
+        fleet.beginWithPushedList(restarted);
+        CompletableFuture<Said> behind = send(restarted, "order", "e1", "");
+        until("it waits", () -> shown(owner).get("waiting").getAsInt() == 1 || !worker.calls.isEmpty());
+        assertTrue(worker.calls.isEmpty(), "until what is out has ended");
+        first.open();
+        first.done("r");
+        assertEquals("200 null", reason(out.get()));
+        Call second = worker.next();
+        second.open();
+        second.done("r");
+        assertEquals("200 null", reason(behind.get()));
+    }
+
     /** One that ends gives its slots up while it still answers, and what comes there is handed on. */
     @Test
     void whoIsDrainedHandsItsSlotsOver() throws Exception {
