Answers for forwarded requests are within the memory budget

Found by reading: a key's owner may answer a forwarded request with up to 1 MB, held outside the bound for all messages in progress.

The reservation goes with the response and is released once that is written; a peer that stops inside its answer, or a client that reads slowly, gives way to others.

--- a/src/main/java/maplespread/DispatcherServer.java
+++ b/src/main/java/maplespread/DispatcherServer.java
@@ -152,7 +152,7 @@
         probes = daemonThreads("probe", config.limits().probes());
         decisions = new DecisionService(config.settings(), config.seed(), operator.fair());
         connectionPool = new ConnectionPool(this::config, this::presentLimits);
-        peerForwarder = new PeerForwarder(connectionPool);
+        peerForwarder = new PeerForwarder(connectionPool, memory);
         attemptRunner = new AttemptRunner(this::config, connectionPool, decisions, metrics, memory);
         metrics.showClasses(config.names().classes());
         prober = new Prober(this::config, connectionPool, decisions);
--- a/src/main/java/maplespread/caller/RequestExecution.java
+++ b/src/main/java/maplespread/caller/RequestExecution.java
@@ -157,7 +157,16 @@
         if (!finalResponse.idConsumed()) {
             context.recentIds().unregister(request.message.id());
         }
-        response.relayed(finalResponse);
+        if (finalResponse.memory() == null) {
+            response.relayed(finalResponse);
+            return;
+        }
+        try {
+            finalResponse.memory().setRevocation(response::abandonStalledWrite);
+            response.relayed(finalResponse);
+        } finally {
+            finalResponse.memory().release();
+        }
     }
 
     /** Runs one attempt; returns whether the attempt served the request. */
--- a/src/main/java/maplespread/caller/RequestSequencer.java
+++ b/src/main/java/maplespread/caller/RequestSequencer.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import maplespread.facade.InFlightRequest;
 import maplespread.facade.Outcome;
+import maplespread.http.MemoryBudget;
 import maplespread.worker.WorkerRequest;
 
 /**
@@ -57,8 +58,10 @@
      * The request ends with this response.
      *
      * @param idConsumed whether the request's id may not be used again
+     * @param memory the memory of the body, to be released once the response has been written; null if none is reserved
      */
-    record FinalResponse(int status, List<String[]> fields, byte[] body, boolean idConsumed)
+    record FinalResponse(
+            int status, List<String[]> fields, byte[] body, boolean idConsumed, MemoryBudget.Reservation memory)
             implements SequencingResult {}
 
     /** The client has left. */
--- a/src/main/java/maplespread/partition/client/OrderResponses.java
+++ b/src/main/java/maplespread/partition/client/OrderResponses.java
@@ -78,7 +78,7 @@
                 fields.add(new String[] {name, value});
             }
         }
-        return new FinalResponse(result.httpStatus(), fields, result.body(), true);
+        return new FinalResponse(result.httpStatus(), fields, result.body(), true, result.memory());
     }
 
     /** Whether the owner answered that it did not accept the request. */
@@ -100,6 +100,6 @@
     }
 
     private static FinalResponse response(int status, List<String[]> fields, String text, boolean idConsumed) {
-        return new FinalResponse(status, fields, (text + "\n").getBytes(StandardCharsets.UTF_8), idConsumed);
+        return new FinalResponse(status, fields, (text + "\n").getBytes(StandardCharsets.UTF_8), idConsumed, null);
     }
 }
--- a/src/main/java/maplespread/partition/client/RequestForwarding.java
+++ b/src/main/java/maplespread/partition/client/RequestForwarding.java
@@ -33,14 +33,17 @@
                 request.sequenced.message().body(),
                 Math.max(1, request.remainingMs()),
                 () -> request.clientLeft);
+        boolean moved = OrderResponses.isMoved(result);
+        if (request.clientLeft || moved) {
+            result.memory().release();
+        }
         if (request.clientLeft) {
             return Optional.of(new ClientLeft());
         }
         return switch (result.status()) {
             case NOT_SENT -> Optional.empty();
             case LOST -> Optional.of(OrderResponses.lostAtOwner());
-            case ANSWERED ->
-                OrderResponses.isMoved(result) ? Optional.empty() : Optional.of(OrderResponses.fromOwner(result));
+            case ANSWERED -> moved ? Optional.empty() : Optional.of(OrderResponses.fromOwner(result));
         };
     }
 
--- a/src/main/java/maplespread/worker/PeerForwarder.java
+++ b/src/main/java/maplespread/worker/PeerForwarder.java
@@ -1,13 +1,14 @@
 package maplespread.worker;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import maplespread.http.HttpHead;
 import maplespread.http.HttpParser;
 import maplespread.http.HttpWriter;
+import maplespread.http.MemoryBudget;
 
 /**
  * Forwards a request to another dispatcher, as a client would, once and without retries. Blocks its caller's thread;
@@ -27,12 +28,13 @@
         LOST
     }
 
-    /** The result of forwarding a request; it holds a response only if the peer responded. */
-    public record Result(Status status, int httpStatus, List<String[]> fields, byte[] body) {
-        private static Result unanswered(Status status) {
-            return new Result(status, 0, List.of(), new byte[0]);
-        }
-    }
+    /**
+     * The result of forwarding a request; it holds a response only if the peer responded.
+     *
+     * @param memory the memory of the response, to be released once it has been written
+     */
+    public record Result(
+            Status status, int httpStatus, List<String[]> fields, byte[] body, MemoryBudget.Reservation memory) {}
 
     /** A connection that a request is being forwarded on, until the request's deadline on System.nanoTime. */
     private record Forwarding(ConnectionPool.PooledConnection connection, long endNanos) {
@@ -43,12 +45,17 @@
         }
     }
 
+    /** A result, and whether its connection may be used again. */
+    private record Received(Result result, boolean reusable) {}
+
     private final ConnectionPool pool;
+    private final MemoryBudget memory;
     private final Map<Object, Forwarding> running = new ConcurrentHashMap<>();
 
-    /** Creates a forwarder that uses the pool's connections. */
-    public PeerForwarder(ConnectionPool pool) {
+    /** Creates a forwarder that uses the pool's connections, and reserves the memory of responses in the budget. */
+    public PeerForwarder(ConnectionPool pool, MemoryBudget memory) {
         this.pool = pool;
+        this.memory = memory;
     }
 
     /**
@@ -80,34 +87,24 @@
         try {
             connection = pool.acquire(address, Math.max(1, limitMs), ConnectionReuse.IF_RELIABLE);
         } catch (IOException | IllegalArgumentException e) {
-            return Result.unanswered(Status.NOT_SENT);
+            return unanswered(Status.NOT_SENT);
         }
         running.put(handle, new Forwarding(connection, endNanos));
         boolean reusable = false;
         try {
             if (abandoned.getAsBoolean()) {
                 reusable = true;
-                return Result.unanswered(Status.NOT_SENT);
+                return unanswered(Status.NOT_SENT);
             }
             try {
                 connection.connection.send(request.body(body));
             } catch (IOException e) { // the last byte was not written
                 pool.recordUse(connection, true);
-                return Result.unanswered(Status.NOT_SENT);
-            }
-            ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
-            HttpParser parser = HttpParser.responseOrError(MAX_RESPONSE_BYTES, responseBody::write);
-            try {
-                connection.connection.receiveBy(parser, endNanos);
-            } catch (IOException e) {
-                pool.recordUse(connection, !parser.headDone());
-                return Result.unanswered(Status.LOST);
+                return unanswered(Status.NOT_SENT);
             }
-            pool.recordUse(connection, false);
-            reusable = parser.head().keepsAlive()
-                    && !connection.connection.buffer().hasRemaining();
-            return new Result(
-                    Status.ANSWERED, parser.head().status(), parser.head().fields(), responseBody.toByteArray());
+            Received received = receive(connection, endNanos);
+            reusable = received.reusable();
+            return received.result();
         } finally {
             running.remove(handle);
             if (reusable) {
@@ -117,4 +114,32 @@
             }
         }
     }
+
+    private Received receive(ConnectionPool.PooledConnection connection, long endNanos) {
+        MemoryBudget.Reservation reservation = memory.open(MemoryBudget.Use.RESPONSE, () -> {
+            connection.connection.close();
+            return true;
+        });
+        PeerResponseBody responseBody = new PeerResponseBody(reservation, MAX_RESPONSE_BYTES, endNanos);
+        HttpParser parser = HttpParser.responseOrError(MAX_RESPONSE_BYTES, responseBody);
+        responseBody.deliveredBy(parser);
+        try {
+            connection.connection.receiveBy(parser, endNanos);
+        } catch (IOException e) {
+            reservation.release();
+            pool.recordUse(connection, !parser.headDone());
+            return new Received(unanswered(Status.LOST), false);
+        }
+        reservation.setRevocation(MemoryBudget.NEVER);
+        pool.recordUse(connection, false);
+        HttpHead head = parser.head();
+        boolean reusable = head.keepsAlive() && !connection.connection.buffer().hasRemaining();
+        byte[] body = responseBody.toByteArray();
+        return new Received(new Result(Status.ANSWERED, head.status(), head.fields(), body, reservation), reusable);
+    }
+
+    private Result unanswered(Status status) {
+        MemoryBudget.Reservation none = memory.open(MemoryBudget.Use.RESPONSE, MemoryBudget.NEVER);
+        return new Result(status, 0, List.of(), new byte[0], none);
+    }
 }
--- a/src/test/java/maplespread/partition/client/OrderedDispatchGoldenTest.java
+++ b/src/test/java/maplespread/partition/client/OrderedDispatchGoldenTest.java
@@ -31,6 +31,7 @@
 import maplespread.facade.EndpointUpdate;
 import maplespread.facade.InFlightRequest;
 import maplespread.facade.Outcome;
+import maplespread.http.MemoryBudget;
 import maplespread.partition.LeaseSettings;
 import maplespread.partition.RoutingTable;
 import maplespread.partition.RoutingTableParser;
@@ -177,7 +178,7 @@
                 "n0",
                 state,
                 endpoints,
-                new PeerForwarder(new ConnectionPool(() -> config, config::limits)),
+                new PeerForwarder(new ConnectionPool(() -> config, config::limits), new MemoryBudget(1 << 23)),
                 operations);
     }
 
--- a/src/test/java/maplespread/partition/client/PartitionAdminGoldenTest.java
+++ b/src/test/java/maplespread/partition/client/PartitionAdminGoldenTest.java
@@ -23,6 +23,7 @@
 import maplespread.consensus.client.ReplicatedRegister;
 import maplespread.discovery.EndpointListener;
 import maplespread.facade.EndpointUpdate;
+import maplespread.http.MemoryBudget;
 import maplespread.membership.MembershipSettings;
 import maplespread.membership.client.ClusterTransport;
 import maplespread.partition.SlotAssignment;
@@ -64,7 +65,7 @@
                         () -> handle,
                         () -> true,
                         () -> "127.0.0.1:7070",
-                        new PeerForwarder(new ConnectionPool(() -> config, config::limits)),
+                        new PeerForwarder(new ConnectionPool(() -> config, config::limits), new MemoryBudget(1 << 23)),
                         new PartitionEndpoints(ignoringListener, config.names())));
     }
 
--- a/src/test/java/maplespread/worker/PeerForwarderTest.java
+++ b/src/test/java/maplespread/worker/PeerForwarderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -18,6 +19,7 @@
 import maplespread.config.ConfigReader;
 import maplespread.http.HttpConnection;
 import maplespread.http.HttpWriter;
+import maplespread.http.MemoryBudget;
 import org.junit.jupiter.api.Test;
 
 class PeerForwarderTest {
@@ -35,7 +37,7 @@
             forwarder[0].cancel("request"); // it is up, and not yet known to the forwarder
             return connection;
         });
-        forwarder[0] = new PeerForwarder(pool);
+        forwarder[0] = new PeerForwarder(pool, new MemoryBudget(1 << 23));
         try (ServerSocket peer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             PeerForwarder.Result result = forwarder[0].run(
                     "request",
@@ -53,7 +55,8 @@
     @Test
     void aWriteThatBlocksEndsWithTheRequestsTime() throws Exception {
         Config config = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
-        PeerForwarder forwarder = new PeerForwarder(new ConnectionPool(() -> config, config::limits));
+        PeerForwarder forwarder =
+                new PeerForwarder(new ConnectionPool(() -> config, config::limits), new MemoryBudget(1 << 23));
         try (ServerSocket peer = new ServerSocket()) {
             peer.setReceiveBufferSize(1024);
             peer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -78,6 +81,52 @@
         }
     }
 
+    /** Guards the bound of memory: a peer's long answer counts until it is written, and a slow one gives way. */
+    @Test
+    void anAnswersMemoryIsReservedAndASlowOneGivesWay() throws Exception {
+        MemoryBudget memory = new MemoryBudget(300_000);
+        Config config = ConfigReader.read(Files.readString(Path.of("example/config.json")), Map.of());
+        PeerForwarder forwarder = new PeerForwarder(new ConnectionPool(() -> config, config::limits), memory);
+        byte[] answer = new byte[100_000];
+        byte[] head = HttpWriter.response(200).body(answer);
+        try (ServerSocket peer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<PeerForwarder.Result> whole = forward(forwarder, peer);
+            try (Socket accepted = peer.accept()) {
+                accepted.getOutputStream().write(head);
+                PeerForwarder.Result result = whole.get(TIME_LIMIT_S, TimeUnit.SECONDS);
+                assertEquals(answer.length, result.body().length);
+                assertEquals(200_000, memory.reservedBytes());
+                result.memory().release();
+                assertEquals(0, memory.reservedBytes());
+            }
+            CompletableFuture<PeerForwarder.Result> stopped = forward(forwarder, peer);
+            try (Socket accepted = peer.accept()) {
+                accepted.getOutputStream().write(head, 0, head.length / 2);
+                long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIME_LIMIT_S);
+                while (memory.reservedBytes() == 0 && System.nanoTime() < endNanos) {
+                    Thread.onSpinWait();
+                }
+                assertEquals(200_000, memory.reservedBytes());
+                MemoryBudget.Reservation other = memory.open(MemoryBudget.Use.RESPONSE, MemoryBudget.NEVER);
+                assertTrue(other.grow(200_000, TimeUnit.SECONDS.toMillis(TIME_LIMIT_S)));
+                assertEquals(
+                        PeerForwarder.Status.LOST,
+                        stopped.get(TIME_LIMIT_S, TimeUnit.SECONDS).status());
+                assertEquals(200_000, memory.reservedBytes());
+            }
+        }
+    }
+
+    private static CompletableFuture<PeerForwarder.Result> forward(PeerForwarder forwarder, ServerSocket peer) {
+        return CompletableFuture.supplyAsync(() -> forwarder.run(
+                new Object(),
+                "127.0.0.1:" + peer.getLocalPort(),
+                HttpWriter.request("POST", "/order/x", "peer"),
+                new byte[10],
+                TimeUnit.SECONDS.toMillis(2 * TIME_LIMIT_S),
+                () -> false));
+    }
+
     private static void assertNothingArrives(ServerSocket peer) throws IOException {
         try (Socket accepted = peer.accept()) {
             assertEquals(0, accepted.getInputStream().available());
