The test of concurrent claims lets no process get two periods ahead

Traced to the test: an id is promised for one period, and where one process ran ahead, two periods were passed between its claim and another's of the same id.

Change: all claim a block of ids before any goes on, and each block has one replacement amid it: 12 instead of 3, 60,000 ids instead of 20,000. Every id must still have exactly one claimant.

--- a/src/test/java/maplespread/upgrade/SharedIdTablesTest.java
+++ b/src/test/java/maplespread/upgrade/SharedIdTablesTest.java
@@ -5,18 +5,18 @@
 import static maplespread.upgrade.SharedIdTables.Claim.USED;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -26,6 +26,7 @@
 class SharedIdTablesTest {
     private static final String HERE = "127.0.0.1:7070";
     private static final long PERIOD_MS = 1000;
+    private static final long TIME_LIMIT_S = 60;
 
     private final AtomicLong nanos = new AtomicLong();
 
@@ -104,41 +105,46 @@
         assertEquals(USED, tables.claim(1000));
     }
 
-    /** Guards the moment of a replacement, one period after the last one: with claims from all sides in it, no id has two claimants, none has none. */
+    /**
+     * Guards the moment of a replacement, one period after the last one: with claims from all sides in it, no id has two
+     * claimants, none has none. All claim the ids of one block before any goes on to the next, as an id is promised for one
+     * period only, and each block has one replacement.
+     */
     @Test
     void concurrentClaimsAndReplacementsGiveEachIdOneClaimant(@TempDir Path dir) throws Exception {
-        int ids = 20_000;
-        AtomicInteger[] claimants = new AtomicInteger[ids];
-        for (int i = 0; i < ids; i++) {
-            claimants[i] = new AtomicInteger();
-        }
-        CountDownLatch start = new CountDownLatch(1);
+        int processCount = 3;
+        int blocks = 12;
+        int idsPerBlock = 5000;
+        AtomicIntegerArray claimants = new AtomicIntegerArray(blocks * idsPerBlock);
+        CyclicBarrier nextBlock = new CyclicBarrier(processCount);
         ExecutorService threads = Executors.newCachedThreadPool();
         List<Future<?>> processes = new ArrayList<>();
-        for (int process = 0; process < 3; process++) {
+        for (int process = 0; process < processCount; process++) {
             SharedIdTables tables = open(dir);
-            int replacesAt = ids / 4 * (process + 1);
+            int number = process;
             processes.add(threads.submit(() -> {
-                start.await();
-                for (int i = 0; i < ids; i++) {
-                    if (i == replacesAt) {
+                for (int id = 0; id < claimants.length(); id++) {
+                    int block = id / idsPerBlock;
+                    if (id % idsPerBlock == 0) {
+                        nextBlock.await(TIME_LIMIT_S, TimeUnit.SECONDS);
+                    }
+                    if (block % processCount == number && id % idsPerBlock == idsPerBlock / 2) {
                         pass(1);
                         tables.maintain();
                     }
-                    if (tables.claim(i + 10) == CLAIMED) {
-                        claimants[i].incrementAndGet();
+                    if (tables.claim(id + 10) == CLAIMED) {
+                        claimants.incrementAndGet(id);
                     }
                 }
                 return null;
             }));
         }
-        start.countDown();
         for (Future<?> process : processes) {
             process.get();
         }
         threads.shutdown();
-        for (int i = 0; i < ids; i++) {
-            assertTrue(claimants[i].get() == 1, i + " has " + claimants[i] + " claimants");
+        for (int id = 0; id < claimants.length(); id++) {
+            assertEquals(1, claimants.get(id), id + " has " + claimants.get(id) + " claimants");
         }
     }
 
