--- a/src/test/java/maplespread/net/CrossingsTest.java
+++ b/src/test/java/maplespread/net/CrossingsTest.java
@@ -57,6 +57,8 @@
  * dispatcher its threads and its way to make connections, and holds them where the other event is to come.
  */
 class CrossingsTest {
+    private static final String REFUSAL = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+
     private static final Loopback.Script DONE = call -> {
         call.open();
         call.done("ok");
@@ -139,6 +141,14 @@
         final AtomicInteger over = new AtomicInteger(); // transactions
         final Config config;
 
+        Node(Peer... workers) throws Exception {
+            this(
+                    Loopback.config("127.0.0.1:1", workers),
+                    CrossingsTest.this::plainly,
+                    CrossingsTest.this::plainly,
+                    HttpConnection::dial);
+        }
+
         Node(String file, Consumer<Runnable> legs, Consumer<Runnable> transactions, ConnectionPool.Dialer dialer)
                 throws Exception {
             config = ConfigReader.read(file, Map.of());
@@ -280,15 +290,11 @@
         Gate gate = new Gate();
         Loopback.Script away = call -> {
             gate.pass();
-            call.raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            call.raw(REFUSAL);
         };
         try (Peer one = new Peer(away);
                 Peer other = new Peer(away);
-                Node node = new Node(
-                        Loopback.config("127.0.0.1:1", one, other),
-                        this::plainly,
-                        this::plainly,
-                        HttpConnection::dial)) {
+                Node node = new Node(one, other)) {
             assertEquals(leaves, sent(node, gate, "page", leaves, one, other).size() == 1);
         }
     }
@@ -359,11 +365,7 @@
         };
         try (Peer one = new Peer(script);
                 Peer other = new Peer(script);
-                Node node = new Node(
-                        Loopback.config("127.0.0.1:1", one, other),
-                        this::plainly,
-                        this::plainly,
-                        HttpConnection::dial);
+                Node node = new Node(one, other);
                 HttpConnection client = node.client(job(lane, "a", 4000))) {
             assertEquals(lane.equals("order") ? 502 : 200, status(client));
             assertEquals(lane.equals("order") ? 1 : 2, jobs(one, other).size());
@@ -377,12 +379,11 @@
     @Test
     void afterAStrayAnswerAnOrderGetsAConnectionOfItsOwn() throws Exception {
         try (Peer worker = new Peer(DONE);
-                Node node = new Node(
-                        Loopback.config("127.0.0.1:1", worker), this::plainly, this::plainly, HttpConnection::dial);
+                Node node = new Node(worker);
                 HttpConnection client = node.client(job("page", "a", 4000))) {
             assertEquals(200, status(client));
             until("its connection is kept", () -> node.over.get() == 1);
-            worker.calls.peek().raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            worker.calls.peek().raw(REFUSAL);
             for (String id : new String[] {"b", "c"}) {
                 client.send(job("order", id, 4000).getBytes());
                 assertEquals(200, status(client));
@@ -403,16 +404,12 @@
             if (answered.putIfAbsent(call.link, true) == null) {
                 DONE.answer(call);
             } else {
-                call.raw("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+                call.raw(REFUSAL);
             }
         };
         try (Peer one = new Peer(answersTwice);
                 Peer other = new Peer(answersTwice);
-                Node node = new Node(
-                        Loopback.config("127.0.0.1:1", one, other),
-                        this::plainly,
-                        this::plainly,
-                        HttpConnection::dial);
+                Node node = new Node(one, other);
                 HttpConnection client = node.client(job("page", "a", 4000))) {
             assertEquals(200, status(client));
             until("its connection is kept", () -> node.over.get() == 1);
